--- /dev/null
+++ b/src/main/java/org/bulrushwheel/cli/package-info.java
@@ -0,0 +1,5 @@
+/** Command line. */
+@NullMarked
+package org.bulrushwheel.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/client/HttpCaller.java
@@ -0,0 +1,58 @@
+package org.bulrushwheel.client;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Map;
+
+/**
+ * Blocking HTTP calls.
+ *
+ * <p>Thread safe.
+ */
+public final class HttpCaller {
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(2))
+            .build();
+
+    /**
+     * Makes a call.
+     *
+     * @param method HTTP method
+     * @param address IP:PORT
+     * @param path path and query
+     * @param headers headers
+     * @param body body, empty for none
+     * @return the answer; a status of 0 when there was none
+     */
+    public HttpAnswer call(String method, String address, String path, Map<String, String> headers, byte[] body) {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + address + path))
+                .timeout(TIMEOUT)
+                .method(
+                        method,
+                        body.length == 0
+                                ? HttpRequest.BodyPublishers.noBody()
+                                : HttpRequest.BodyPublishers.ofByteArray(body));
+        headers.forEach(request::header);
+        try {
+            HttpResponse<byte[]> response = client.send(request.build(), HttpResponse.BodyHandlers.ofByteArray());
+            return new HttpAnswer(response.statusCode(), response.headers().map(), response.body());
+        } catch (IOException e) {
+            return HttpAnswer.none(String.valueOf(e));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return HttpAnswer.none("interrupted");
+        }
+    }
+
+    /** Makes a GET call. */
+    public HttpAnswer get(String address, String path) {
+        return call("GET", address, path, Map.of(), new byte[0]);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/control/ControlService.java
@@ -0,0 +1,384 @@
+package org.bulrushwheel.control;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+
+import com.codahale.metrics.MetricRegistry;
+import org.bulrushwheel.kernel.KernelService;
+import org.bulrushwheel.logic.control.ControlState;
+import org.bulrushwheel.logic.raft.RaftNode;
+import org.bulrushwheel.logic.raft.RaftReady;
+import org.bulrushwheel.logic.raft.RaftRole;
+import org.bulrushwheel.logic.raft.RaftTimings;
+import org.bulrushwheel.logic.raft.ReplicaId;
+import org.bulrushwheel.logic.raft.ReplicaReplacement;
+import org.bulrushwheel.logic.time.TimeSource;
+import org.bulrushwheel.model.config.VersionedConfiguration;
+import org.bulrushwheel.model.proto.Command;
+import org.bulrushwheel.model.proto.CommandResult;
+import org.bulrushwheel.model.proto.ControlSnapshot;
+import org.bulrushwheel.model.proto.Frame;
+import org.bulrushwheel.model.proto.JoinRequest;
+import org.bulrushwheel.model.proto.LogEntry;
+import org.bulrushwheel.model.proto.RaftMessage;
+import org.bulrushwheel.model.proto.SnapshotFile;
+import org.bulrushwheel.model.proto.Voters;
+import org.bulrushwheel.model.settings.Settings;
+import org.bulrushwheel.storage.ReplicaStorage;
+import org.bulrushwheel.storage.StorageException;
+import org.bulrushwheel.wire.PeerNetwork;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Control replica: drives the replicated log and applies it to the control state.
+ *
+ * <p>Invariant: log, state and storage are touched by the control thread alone; everything that arrives meanwhile is
+ * handled together and synced once. Thread safe.
+ */
+public final class ControlService implements KernelService {
+    /** Name in the kernel. */
+    public static final String NAME = "control";
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(ControlService.class);
+    private static final long TICK_MILLIS = 20;
+    private static final long JOIN_PAUSE_MILLIS = 500;
+    private static final long SNAPSHOT_LOG_BYTES = 32L * 1024 * 1024;
+    private static final long ENTRIES_KEPT = 1_000;
+    private static final int MAX_BATCH = 512;
+
+    private final Settings settings;
+    private final PeerNetwork peers;
+    private final TimeSource time;
+    private final RandomGenerator random;
+    private final MetricRegistry metrics;
+    private final LinkedBlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
+    private final List<Consumer<VersionedConfiguration>> listeners = new CopyOnWriteArrayList<>();
+    private final PendingProposals proposals = new PendingProposals();
+    private final Map<Long, Runnable> pendingReads = new HashMap<>();
+    private final ControlState state = new ControlState();
+    private final Thread thread = new Thread(this::run, "control");
+
+    private @Nullable RaftNode node;
+    private @Nullable ReplicaStorage storage;
+    private String replica = "";
+    private long appliedIndex;
+    private long nextReadId;
+    private long nextJoinMillis;
+    private RaftRole lastRole = RaftRole.FOLLOWER;
+    private volatile boolean stopping;
+    private volatile ReplicaStatus status = ReplicaStatus.STARTING;
+
+    /** A replica in the data folder of the settings. */
+    public ControlService(
+            Settings settings, PeerNetwork peers, TimeSource time, RandomGenerator random, MetricRegistry metrics) {
+        this.settings = settings;
+        this.peers = peers;
+        this.time = time;
+        this.random = random;
+        this.metrics = metrics;
+        peers.handle(
+                Frame.BodyCase.RAFT,
+                (frame, reply) -> inbox.add(() -> requireNode().step(frame.getRaft())));
+        peers.handle(Frame.BodyCase.PROPOSAL, (frame, reply) -> propose(
+                        frame.getProposal().getCommand())
+                .thenAccept(result -> reply.accept(Frame.newBuilder().setCommandResult(result))));
+        peers.handle(
+                Frame.BodyCase.JOIN_REQUEST,
+                (frame, reply) -> inbox.add(() -> onJoin(frame.getJoinRequest().getReplica())));
+    }
+
+    /** Prepares the data folder of a replica of a new deployment whose first voters are these instances. */
+    public static void bootstrap(Path folder, String instance, List<String> firstVoters) {
+        Voters.Builder voters = Voters.newBuilder();
+        firstVoters.stream()
+                .sorted()
+                .map(name -> new ReplicaId(name, ReplicaId.FIRST_DISK).toString())
+                .forEach(voters::addVoters);
+        String identity = new ReplicaId(instance, ReplicaId.FIRST_DISK).toString();
+        ReplicaStorage.format(
+                folder, identity, SnapshotFile.newBuilder().setVoters(voters).build());
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    /** Adds a listener for accepted configurations; called on the control thread. */
+    public void onAccepted(Consumer<VersionedConfiguration> listener) {
+        listeners.add(listener);
+    }
+
+    /** Returns the state of the replica, as of its last batch. */
+    public ReplicaStatus status() {
+        return status;
+    }
+
+    @Override
+    public void start() {
+        Path folder = settings.dataPath().orElseThrow();
+        Optional<String> stored = ReplicaStorage.identity(folder);
+        if (stored.isEmpty()) {
+            ReplicaId fresh = new ReplicaId(
+                    settings.instance(), UUID.randomUUID().toString().substring(0, 8));
+            ReplicaStorage.format(folder, fresh.toString(), SnapshotFile.getDefaultInstance());
+            LOGGER.info("data folder is empty, joining as replica={}", fresh);
+        }
+        replica = ReplicaStorage.identity(folder).orElseThrow();
+        storage = ReplicaStorage.open(folder);
+        node = new RaftNode(replica, storage.state(), RaftTimings.DEFAULT, random, time.monotonicMillis());
+        restore(storage.state().snapshot());
+        thread.start();
+    }
+
+    @Override
+    public void stop() {
+        stopping = true;
+        inbox.add(() -> {});
+        try {
+            thread.join(TimeUnit.SECONDS.toMillis(5));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Proposes a command; the answer says NOT_LEADER when this replica cannot tell the outcome. */
+    public CompletableFuture<CommandResult> propose(Command command) {
+        CompletableFuture<CommandResult> answer = new CompletableFuture<>();
+        inbox.add(() -> {
+            Command stamped = command.toBuilder()
+                    .setProposedAtEpochMillis(time.epochMillis())
+                    .build();
+            RaftNode raft = requireNode();
+            raft.propose(stamped)
+                    .ifPresentOrElse(
+                            index -> proposals.add(index, raft.term(), answer),
+                            () -> answer.complete(PendingProposals.notLeader().toBuilder()
+                                    .setLeader(leaderInstance())
+                                    .build()));
+        });
+        return answer;
+    }
+
+    /** Reads the state once a majority has confirmed that this replica leads; empty when it does not. */
+    public <T> CompletableFuture<Optional<T>> read(Function<ControlState, T> reader) {
+        CompletableFuture<Optional<T>> answer = new CompletableFuture<>();
+        inbox.add(() -> {
+            long readId = nextReadId++;
+            pendingReads.put(readId, () -> answer.complete(Optional.of(reader.apply(state))));
+            if (!requireNode().requestRead(readId)) {
+                pendingReads.remove(readId);
+                answer.complete(Optional.empty());
+            }
+        });
+        return answer.completeOnTimeout(Optional.empty(), 1, TimeUnit.SECONDS);
+    }
+
+    /** Reads the state as this replica has applied it, which may lag. */
+    public <T> CompletableFuture<T> readLocal(Function<ControlState, T> reader) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        inbox.add(() -> answer.complete(reader.apply(state)));
+        return answer;
+    }
+
+    private void run() {
+        try {
+            while (!stopping) {
+                runBatch();
+            }
+        } catch (StorageException e) {
+            metrics.counter("control.storage.failed").inc();
+            LOGGER.error("replica={} stops: {}", replica, e.getMessage(), e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            proposals.abandon();
+            closeStorage();
+            status = status.stopped();
+        }
+    }
+
+    private void runBatch() throws InterruptedException {
+        Runnable first = inbox.poll(TICK_MILLIS, TimeUnit.MILLISECONDS);
+        List<Runnable> batch = new ArrayList<>();
+        if (first != null) {
+            batch.add(first);
+            inbox.drainTo(batch, MAX_BATCH);
+        }
+        batch.forEach(Runnable::run);
+        requireNode().tick(time.monotonicMillis());
+        askToJoin();
+        handleReady();
+        maybeSnapshot();
+        publishStatus();
+    }
+
+    private void handleReady() {
+        RaftNode raft = requireNode();
+        for (RaftReady ready = raft.takeReady(); !ready.isEmpty(); ready = raft.takeReady()) {
+            if (ready.needsStorage()) {
+                requireStorage().store(ready);
+                metrics.meter("control.log.syncs").mark();
+                metrics.meter("control.log.entries").mark(ready.entries().size());
+            }
+            ready.installed().ifPresent(this::restore);
+            ready.messages().forEach(this::send);
+            ready.committed().forEach(this::apply);
+            raft.persisted(ready);
+            ready.confirmedReads().forEach(this::answerRead);
+        }
+    }
+
+    private void answerRead(long readId) {
+        Runnable read = pendingReads.remove(readId);
+        if (read != null) {
+            read.run();
+        }
+    }
+
+    private void send(RaftMessage message) {
+        peers.send(
+                ReplicaId.parse(message.getTo()).instance(), Frame.newBuilder().setRaft(message));
+    }
+
+    private void apply(LogEntry entry) {
+        appliedIndex = entry.getIndex();
+        if (entry.hasVoters()) {
+            LOGGER.info(
+                    "voters={} learners={}",
+                    entry.getVoters().getVotersList(),
+                    entry.getVoters().getLearnersList());
+            return;
+        }
+        long versionBefore = state.current().version();
+        CommandResult result = state.apply(entry.getCommand());
+        proposals.applied(entry, result);
+        if (state.current().version() != versionBefore) {
+            LOGGER.info(
+                    "accepted version={} actor={}",
+                    state.current().version(),
+                    entry.getCommand().getActor());
+            announce();
+        }
+    }
+
+    private void restore(SnapshotFile snapshot) {
+        appliedIndex = snapshot.getLastIndex();
+        if (snapshot.getState().isEmpty()) {
+            return;
+        }
+        try {
+            state.restore(ControlSnapshot.parseFrom(snapshot.getState()));
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+            throw new StorageException("the snapshot is of another release; run that release", e);
+        }
+        announce();
+    }
+
+    private void announce() {
+        listeners.forEach(listener -> listener.accept(state.current()));
+    }
+
+    private void maybeSnapshot() {
+        RaftNode raft = requireNode();
+        ReplicaStorage files = requireStorage();
+        if (files.logSizeBytes() < SNAPSHOT_LOG_BYTES
+                || appliedIndex <= files.state().snapshot().getLastIndex()) {
+            return;
+        }
+        SnapshotFile snapshot = SnapshotFile.newBuilder()
+                .setLastIndex(appliedIndex)
+                .setLastTerm(raft.termAt(appliedIndex))
+                .setVoters(raft.votersAt(appliedIndex))
+                .setState(state.snapshot().toByteString())
+                .build();
+        files.saveSnapshot(snapshot, raft.entriesAfter(appliedIndex));
+        raft.compact(snapshot, ENTRIES_KEPT);
+        metrics.counter("control.snapshots").inc();
+    }
+
+    private void askToJoin() {
+        RaftNode raft = requireNode();
+        long now = time.monotonicMillis();
+        if (raft.voters().getVotersList().contains(replica) || now < nextJoinMillis) {
+            return;
+        }
+        nextJoinMillis = now + JOIN_PAUSE_MILLIS;
+        settings.peers().stream()
+                .filter(peer -> peer.control())
+                .forEach(peer -> peers.send(
+                        peer.name(),
+                        Frame.newBuilder()
+                                .setJoinRequest(JoinRequest.newBuilder().setReplica(replica))));
+    }
+
+    private void onJoin(String joining) {
+        RaftNode raft = requireNode();
+        if (raft.role() != RaftRole.LEADER) {
+            return;
+        }
+        boolean caughtUp = raft.isInContact(joining) && raft.matchIndexOf(joining) >= raft.commitIndex();
+        ReplicaReplacement.nextChange(raft.voters(), ReplicaId.parse(joining), caughtUp)
+                .ifPresent(raft::proposeVoters);
+    }
+
+    private void publishStatus() {
+        RaftNode raft = requireNode();
+        if (raft.role() != lastRole) {
+            if (lastRole == RaftRole.LEADER) {
+                proposals.abandon();
+                pendingReads.clear();
+            }
+            boolean settled = raft.role() == RaftRole.LEADER || lastRole == RaftRole.LEADER;
+            lastRole = raft.role();
+            if (settled) {
+                LOGGER.info("replica={} role={} term={}", replica, lastRole, raft.term());
+            }
+        }
+        status = new ReplicaStatus(
+                replica,
+                raft.role(),
+                raft.term(),
+                leaderInstance(),
+                raft.commitIndex(),
+                appliedIndex,
+                raft.voters().getVotersList(),
+                raft.voters().getLearnersList(),
+                true);
+    }
+
+    private String leaderInstance() {
+        return requireNode().leader().map(id -> ReplicaId.parse(id).instance()).orElse("");
+    }
+
+    private void closeStorage() {
+        try {
+            requireStorage().close();
+        } catch (IOException e) {
+            LOGGER.warn("cannot close the data folder", e);
+        }
+    }
+
+    private RaftNode requireNode() {
+        return java.util.Objects.requireNonNull(node, "the control service is not started");
+    }
+
+    private ReplicaStorage requireStorage() {
+        return java.util.Objects.requireNonNull(storage, "the control service is not started");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/daemon/Daemon.java
@@ -0,0 +1,148 @@
+package org.bulrushwheel.daemon;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import com.codahale.metrics.MetricRegistry;
+import org.bulrushwheel.control.ControlClient;
+import org.bulrushwheel.control.ControlService;
+import org.bulrushwheel.kernel.Kernel;
+import org.bulrushwheel.logic.time.SystemTimeSource;
+import org.bulrushwheel.logic.time.TimeSource;
+import org.bulrushwheel.model.instance.Instance;
+import org.bulrushwheel.model.settings.Settings;
+import org.bulrushwheel.server.HttpAnswers;
+import org.bulrushwheel.server.HttpService;
+import org.bulrushwheel.server.admin.AdminHandler;
+import org.bulrushwheel.server.admin.RootTokenAuthorizer;
+import org.bulrushwheel.server.configuration.ConfigurationService;
+import org.bulrushwheel.server.gateway.GatewayHandler;
+import org.bulrushwheel.server.gateway.LeastLoadSlotSource;
+import org.bulrushwheel.server.gateway.ReplicatedRunLedger;
+import org.bulrushwheel.server.lookup.LookupHandler;
+import org.bulrushwheel.server.status.MetricsPages;
+import org.bulrushwheel.server.status.StatusHandler;
+import org.bulrushwheel.server.upstreams.UpstreamHandler;
+import org.bulrushwheel.server.upstreams.UpstreamService;
+import org.bulrushwheel.wire.PeerNetwork;
+
+/**
+ * One process: an entry instance, with a control replica where the settings name a data folder.
+ *
+ * <p>Thread safe; start and stop are called once.
+ */
+public final class Daemon implements AutoCloseable {
+    private static final long DRAIN_SECONDS = 15;
+
+    private final Settings settings;
+    private final Kernel kernel = new Kernel();
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final TimeSource time = new SystemTimeSource();
+    private final long incarnation = time.epochMillis();
+
+    /** A process with these settings; nothing runs before the start. */
+    public Daemon(Settings settings, int ioThreads) {
+        this.settings = settings;
+        PeerNetwork peers = kernel.register(new PeerNetwork(settings, metrics));
+        ConfigurationService configuration = kernel.register(new ConfigurationService(settings, peers, metrics));
+        Optional<ControlService> control = registerControl(peers, configuration);
+        ControlClient client = kernel.register(new ControlClient(settings, peers, time, metrics));
+        UpstreamService upstreams = kernel.register(new UpstreamService(settings, peers, time, metrics));
+        HttpAnswers answers = new HttpAnswers(metrics);
+        HttpService http = kernel.register(new HttpService(settings, ioThreads, metrics, answers));
+        addPages(http, answers, configuration, control);
+        http.handle(UpstreamHandler.PREFIX, new UpstreamHandler(upstreams, time, answers));
+        LookupHandler lookup = new LookupHandler(settings.zone(), this::liveInstances, time, answers, metrics);
+        configuration.onChange(lookup::configure);
+        http.handleExact(LookupHandler.PATH, lookup);
+        http.handleExact(
+                AdminHandler.CONFIGURATION_PATH,
+                new AdminHandler(
+                        client,
+                        new RootTokenAuthorizer(settings.administrationTokenSha256()),
+                        configuration::current,
+                        answers));
+        http.handle(
+                GatewayHandler.PREFIX,
+                new GatewayHandler(
+                        settings.instance(),
+                        configuration::current,
+                        new LeastLoadSlotSource(settings.zone(), upstreams, time, metrics),
+                        new ReplicatedRunLedger(settings.instance(), incarnation, client, this::isAlive),
+                        time,
+                        metrics,
+                        answers));
+    }
+
+    /** Starts every service. */
+    public void start() {
+        kernel.start();
+    }
+
+    /** Returns the version of the configuration in force. */
+    public long configurationVersion() {
+        return kernel.find(ConfigurationService.NAME, ConfigurationService.class)
+                .current()
+                .version();
+    }
+
+    /** Returns the registry. */
+    public MetricRegistry metrics() {
+        return metrics;
+    }
+
+    /** Returns the services by name. */
+    public Kernel kernel() {
+        return kernel;
+    }
+
+    /** Returns the settings. */
+    public Settings settings() {
+        return settings;
+    }
+
+    /** Drains and stops every service. */
+    @Override
+    public void close() {
+        kernel.stop(System.nanoTime() + TimeUnit.SECONDS.toNanos(DRAIN_SECONDS));
+    }
+
+    private Optional<ControlService> registerControl(PeerNetwork peers, ConfigurationService configuration) {
+        if (settings.dataPath().isEmpty()) {
+            return Optional.empty();
+        }
+        ControlService control =
+                kernel.register(new ControlService(settings, peers, time, RandomGenerator.getDefault(), metrics));
+        control.onAccepted(configuration::accepted);
+        return Optional.of(control);
+    }
+
+    private void addPages(
+            HttpService http,
+            HttpAnswers answers,
+            ConfigurationService configuration,
+            Optional<ControlService> control) {
+        MetricsPages pages = new MetricsPages(metrics);
+        http.handleExact("/health", exchange -> answers.text(exchange, 200, "ok\n"));
+        http.handleExact("/metrics", exchange -> answers.text(exchange, 200, pages.text()));
+        http.handleExact("/metrics.json", exchange -> answers.json(exchange, 200, pages.values()));
+        http.handleExact(
+                StatusHandler.PATH,
+                new StatusHandler(
+                        settings.self(),
+                        incarnation,
+                        configuration::current,
+                        () -> control.map(ControlService::status),
+                        answers));
+    }
+
+    private List<Instance> liveInstances() {
+        return settings.instances();
+    }
+
+    private boolean isAlive(String holder, long holderIncarnation) {
+        return !holder.equals(settings.instance()) || holderIncarnation == incarnation;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/logic/config/ConfigurationCodec.java
@@ -0,0 +1,84 @@
+package org.bulrushwheel.logic.config;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.electronwill.nightconfig.core.Config;
+import com.electronwill.nightconfig.toml.TomlFormat;
+import com.electronwill.nightconfig.toml.TomlWriter;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import io.vavr.control.Either;
+
+/**
+ * Reads and writes TOML documents. The same value always gives the same bytes.
+ *
+ * <p>Stateless and thread safe.
+ */
+public final class ConfigurationCodec {
+    private static final TomlMapper TOML = TomlMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+            .build();
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private ConfigurationCodec() {}
+
+    /**
+     * Reads a document.
+     *
+     * @param document TOML text
+     * @param type record to read
+     * @return the value, or the fault with its line and key where the parser gives them
+     */
+    public static <T> Either<String, T> read(String document, Class<T> type) {
+        try {
+            return Either.right(TOML.readValue(document, type));
+        } catch (JsonProcessingException e) {
+            return Either.left(describe(e));
+        }
+    }
+
+    /** Writes a value as TOML with one table for each record. */
+    public static String write(Object value) {
+        JsonNode tree = JSON.valueToTree(value);
+        Config config = toConfig(tree);
+        TomlWriter writer = TomlFormat.instance().createWriter();
+        writer.setIndent("");
+        return writer.writeToString(config).replace("\r\n", "\n").strip() + "\n";
+    }
+
+    private static Config toConfig(JsonNode object) {
+        Map<String, Object> values = new LinkedHashMap<>();
+        object.fields().forEachRemaining(field -> values.put(field.getKey(), toValue(field.getValue())));
+        return Config.wrap(values, TomlFormat.instance());
+    }
+
+    private static Object toValue(JsonNode node) {
+        if (node.isObject()) {
+            return toConfig(node);
+        }
+        if (node.isArray()) {
+            List<Object> list = new ArrayList<>();
+            node.forEach(element -> list.add(toValue(element)));
+            return list;
+        }
+        if (node.isIntegralNumber()) {
+            return node.longValue();
+        }
+        if (node.isNumber()) {
+            return node.doubleValue();
+        }
+        return node.isBoolean() ? node.booleanValue() : node.asText();
+    }
+
+    private static String describe(JsonProcessingException e) {
+        String line = e.getLocation() == null ? "" : "line " + e.getLocation().getLineNr() + ": ";
+        return line + e.getOriginalMessage() + "; correct or remove this key";
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/logic/config/package-info.java
@@ -0,0 +1,5 @@
+/** Reading, generating, checking and comparing configurations. */
+@NullMarked
+package org.bulrushwheel.logic.config;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/logic/control/ControlState.java
@@ -0,0 +1,183 @@
+package org.bulrushwheel.logic.control;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.bulrushwheel.logic.config.ConfigurationChecker;
+import org.bulrushwheel.logic.config.ConfigurationCodec;
+import org.bulrushwheel.logic.config.ShiftCalendar;
+import org.bulrushwheel.logic.ledger.RunLedgerState;
+import org.bulrushwheel.model.config.Configuration;
+import org.bulrushwheel.model.config.VersionedConfiguration;
+import org.bulrushwheel.model.proto.AcceptConfiguration;
+import org.bulrushwheel.model.proto.ChangeRecord;
+import org.bulrushwheel.model.proto.Command;
+import org.bulrushwheel.model.proto.CommandResult;
+import org.bulrushwheel.model.proto.ControlSnapshot;
+import org.bulrushwheel.model.proto.PutOperator;
+
+/**
+ * State machine that every control replica applies the log to. Its outcome depends on the commands alone: time comes
+ * from the command.
+ *
+ * <p>Invariants: the version only grows, by one for each accepted configuration; a change id that was decided keeps
+ * its first result. Not thread safe: one thread applies and reads.
+ */
+public final class ControlState {
+    private static final int CHANGES_KEPT = 10_000;
+
+    private final RunLedgerState ledger = new RunLedgerState();
+    private final LinkedHashMap<String, ChangeRecord> changes = new LinkedHashMap<>();
+    private final Map<String, PutOperator> operators = new LinkedHashMap<>();
+    private VersionedConfiguration current = VersionedConfiguration.NONE;
+
+    /** Applies one committed command. */
+    public CommandResult apply(Command command) {
+        return switch (command.getChangeCase()) {
+            case ACCEPT_CONFIGURATION -> accept(command);
+            case CLAIM_KEY -> ledger.claim(command.getClaimKey(), command.getProposedAtEpochMillis());
+            case COMPLETE_KEY -> ledger.complete(command.getCompleteKey(), command.getProposedAtEpochMillis());
+            case RELEASE_KEY -> ledger.release(command.getReleaseKey());
+            case PUT_OPERATOR -> putOperator(command);
+            default -> result(CommandResult.Kind.DONE, "").build();
+        };
+    }
+
+    /** Returns the accepted configuration. */
+    public VersionedConfiguration current() {
+        return current;
+    }
+
+    /** Returns the accepted and refused changes, oldest first. */
+    public List<ChangeRecord> history() {
+        return List.copyOf(changes.values());
+    }
+
+    /** Returns the operators. */
+    public List<PutOperator> operators() {
+        return List.copyOf(operators.values());
+    }
+
+    /** Finds the operator whose token has this SHA-256, as lower-case hex. */
+    public Optional<PutOperator> operatorByTokenSha256(String tokenSha256) {
+        return operators.values().stream()
+                .filter(operator -> operator.getTokenSha256().equals(tokenSha256))
+                .findFirst();
+    }
+
+    /** Returns the number of keys in the run ledger. */
+    public int ledgerSize() {
+        return ledger.size();
+    }
+
+    /** Writes the whole state. */
+    public ControlSnapshot snapshot() {
+        return ControlSnapshot.newBuilder()
+                .setVersion(current.version())
+                .setDocument(current.document())
+                .addAllKeys(ledger.records())
+                .addAllChanges(changes.values())
+                .addAllOperators(operators.values())
+                .build();
+    }
+
+    /** Replaces the whole state. */
+    public void restore(ControlSnapshot snapshot) {
+        current = read(snapshot.getVersion(), snapshot.getDocument());
+        ledger.restore(snapshot.getKeysList());
+        changes.clear();
+        snapshot.getChangesList().forEach(change -> changes.put(change.getChangeId(), change));
+        operators.clear();
+        snapshot.getOperatorsList().forEach(operator -> operators.put(operator.getName(), operator));
+    }
+
+    private static VersionedConfiguration read(long version, String document) {
+        if (version == 0) {
+            return VersionedConfiguration.NONE;
+        }
+        Configuration configuration = ConfigurationCodec.read(document, Configuration.class)
+                .getOrElseThrow(fault -> new IllegalStateException(fault));
+        return new VersionedConfiguration(version, configuration, document);
+    }
+
+    private CommandResult accept(Command command) {
+        ChangeRecord earlier = changes.get(command.getChangeId());
+        if (earlier != null) {
+            return earlier.getResult();
+        }
+        AcceptConfiguration change = command.getAcceptConfiguration();
+        if (change.getExpectedVersion() != current.version()) {
+            return remember(command, conflict(change));
+        }
+        Optional<CommandResult> outsideBreak = refuseOutsideBreak(command.getProposedAtEpochMillis());
+        if (outsideBreak.isPresent()) {
+            return outsideBreak.get();
+        }
+        return ConfigurationCodec.read(change.getDocument(), Configuration.class)
+                .fold(
+                        fault -> result(CommandResult.Kind.INVALID, fault).build(),
+                        configuration -> acceptChecked(command, configuration));
+    }
+
+    private CommandResult acceptChecked(Command command, Configuration configuration) {
+        List<String> faults = ConfigurationChecker.check(configuration);
+        if (!faults.isEmpty()) {
+            return result(CommandResult.Kind.INVALID, String.join("\n", faults)).build();
+        }
+        String document = command.getAcceptConfiguration().getDocument();
+        current = new VersionedConfiguration(current.version() + 1, configuration, document);
+        return remember(command, result(CommandResult.Kind.DONE, "accepted").build());
+    }
+
+    private CommandResult conflict(AcceptConfiguration change) {
+        String winner = changes.values().stream()
+                .filter(record -> record.getResult().getKind() == CommandResult.Kind.DONE)
+                .filter(record -> record.getVersion() == change.getExpectedVersion() + 1)
+                .map(record -> record.getActor() + " accepted version " + record.getVersion())
+                .findFirst()
+                .orElse("version " + current.version() + " is in force");
+        return result(CommandResult.Kind.CONFLICT, winner).build();
+    }
+
+    private Optional<CommandResult> refuseOutsideBreak(long epochMillis) {
+        ShiftCalendar calendar = new ShiftCalendar(current.configuration());
+        if (calendar.isBreak(epochMillis)) {
+            return Optional.empty();
+        }
+        String next = calendar.nextBreak(epochMillis).map(Object::toString).orElse("none: the shifts fill the day");
+        return Optional.of(
+                result(CommandResult.Kind.NOT_IN_BREAK, "next break: " + next).build());
+    }
+
+    private CommandResult putOperator(Command command) {
+        operators.put(command.getPutOperator().getName(), command.getPutOperator());
+        return remember(
+                command, result(CommandResult.Kind.DONE, "operator stored").build());
+    }
+
+    private CommandResult remember(Command command, CommandResult decided) {
+        changes.put(
+                command.getChangeId(),
+                ChangeRecord.newBuilder()
+                        .setChangeId(command.getChangeId())
+                        .setActor(command.getActor())
+                        .setVersion(decided.getVersion())
+                        .setAcceptedAtEpochMillis(command.getProposedAtEpochMillis())
+                        .setResult(decided)
+                        .setSummary(command.getChangeCase().name().toLowerCase(java.util.Locale.ROOT))
+                        .build());
+        if (changes.size() > CHANGES_KEPT) {
+            changes.remove(changes.keySet().iterator().next());
+        }
+        return decided;
+    }
+
+    private CommandResult.Builder result(CommandResult.Kind kind, String detail) {
+        return CommandResult.newBuilder()
+                .setKind(kind)
+                .setVersion(current.version())
+                .setDetail(detail);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/logic/lookup/package-info.java
@@ -0,0 +1,5 @@
+/** Which entry instances a caller should use. */
+@NullMarked
+package org.bulrushwheel.logic.lookup;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/logic/raft/RaftLog.java
@@ -0,0 +1,128 @@
+package org.bulrushwheel.logic.raft;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.bulrushwheel.model.proto.LogEntry;
+import org.bulrushwheel.model.proto.SnapshotFile;
+import org.bulrushwheel.model.proto.Voters;
+
+/**
+ * Entries of the log behind the last compaction, and the latest snapshot. Indexes are contiguous.
+ *
+ * <p>Not thread safe: owned by one {@link RaftNode}.
+ */
+final class RaftLog {
+    private final List<LogEntry> entries = new ArrayList<>();
+    private SnapshotFile snapshot;
+    private long baseIndex;
+    private long baseTerm;
+    private Voters baseVoters;
+
+    RaftLog(SnapshotFile snapshot, List<LogEntry> entries) {
+        this.snapshot = snapshot;
+        this.baseIndex = snapshot.getLastIndex();
+        this.baseTerm = snapshot.getLastTerm();
+        this.baseVoters = snapshot.getVoters();
+        this.entries.addAll(entries);
+    }
+
+    SnapshotFile snapshot() {
+        return snapshot;
+    }
+
+    long firstIndex() {
+        return baseIndex + 1;
+    }
+
+    long lastIndex() {
+        return baseIndex + entries.size();
+    }
+
+    long lastTerm() {
+        return entries.isEmpty() ? baseTerm : entries.get(entries.size() - 1).getTerm();
+    }
+
+    /** Returns the term at the index, or none when the index is compacted or not there yet. */
+    Optional<Long> termAt(long index) {
+        if (index == baseIndex) {
+            return Optional.of(baseTerm);
+        }
+        if (index < baseIndex || index > lastIndex()) {
+            return Optional.empty();
+        }
+        return Optional.of(at(index).getTerm());
+    }
+
+    LogEntry at(long index) {
+        return entries.get((int) (index - baseIndex - 1));
+    }
+
+    /** Returns up to {@code most} entries from the index on. */
+    List<LogEntry> from(long index, int most) {
+        int start = (int) (index - baseIndex - 1);
+        int end = (int) Math.min(entries.size(), (long) start + most);
+        return start >= end ? List.of() : List.copyOf(entries.subList(start, end));
+    }
+
+    void append(LogEntry entry) {
+        entries.add(entry);
+    }
+
+    void truncateAfter(long index) {
+        entries.subList((int) (index - baseIndex), entries.size()).clear();
+    }
+
+    /** Voters by the last change in the log, whether committed or not. */
+    Voters voters() {
+        for (int position = entries.size() - 1; position >= 0; position--) {
+            if (entries.get(position).hasVoters()) {
+                return entries.get(position).getVoters();
+            }
+        }
+        return baseVoters;
+    }
+
+    /** Voters by the last change up to the index. */
+    Voters votersAt(long index) {
+        for (long position = Math.min(index, lastIndex()); position > baseIndex; position--) {
+            if (at(position).hasVoters()) {
+                return at(position).getVoters();
+            }
+        }
+        return baseVoters;
+    }
+
+    /** Index of the last change of the voters behind the base, or 0. */
+    long lastVotersIndex() {
+        for (long position = lastIndex(); position > baseIndex; position--) {
+            if (at(position).hasVoters()) {
+                return position;
+            }
+        }
+        return 0;
+    }
+
+    /** Drops entries up to the index, which the snapshot covers. */
+    void compact(SnapshotFile newSnapshot, long dropUpTo) {
+        snapshot = newSnapshot;
+        if (dropUpTo <= baseIndex) {
+            return;
+        }
+        Voters votersThere = votersAt(dropUpTo);
+        long termThere = termAt(dropUpTo).orElse(newSnapshot.getLastTerm());
+        entries.subList(0, (int) (dropUpTo - baseIndex)).clear();
+        baseIndex = dropUpTo;
+        baseTerm = termThere;
+        baseVoters = votersThere;
+    }
+
+    void reset(SnapshotFile newSnapshot) {
+        entries.clear();
+        snapshot = newSnapshot;
+        baseIndex = newSnapshot.getLastIndex();
+        baseTerm = newSnapshot.getLastTerm();
+        baseVoters = newSnapshot.getVoters();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/logic/settings/package-info.java
@@ -0,0 +1,5 @@
+/** Reading and checking settings. */
+@NullMarked
+package org.bulrushwheel.logic.settings;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/logic/time/TimeSource.java
@@ -0,0 +1,10 @@
+package org.bulrushwheel.logic.time;
+
+/** Source of time, real or virtual. Implementations are thread safe. */
+public interface TimeSource {
+    /** Returns monotonic time in milliseconds from an arbitrary start. */
+    long monotonicMillis();
+
+    /** Returns wall-clock time in milliseconds since the epoch. */
+    long epochMillis();
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/logic/upstream/package-info.java
@@ -0,0 +1,5 @@
+/** Which upstream endpoints are known. */
+@NullMarked
+package org.bulrushwheel.logic.upstream;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/model/instance/Address.java
@@ -0,0 +1,32 @@
+package org.bulrushwheel.model.instance;
+
+import java.net.InetSocketAddress;
+
+/**
+ * An IP address and a port.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param host IP address
+ * @param port TCP port
+ */
+public record Address(String host, int port) {
+    /** Parses {@code host:port}. */
+    public static Address parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("'" + text + "' is no address; write it as IP:PORT");
+        }
+        return new Address(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    /** Returns the socket address. */
+    public InetSocketAddress toSocketAddress() {
+        return new InetSocketAddress(host, port);
+    }
+
+    @Override
+    public String toString() {
+        return host + ":" + port;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/model/upstream/package-info.java
@@ -0,0 +1,5 @@
+/** Upstream endpoints as they announce themselves. */
+@NullMarked
+package org.bulrushwheel.model.upstream;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/HttpAnswers.java
@@ -0,0 +1,80 @@
+package org.bulrushwheel.server;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import org.bulrushwheel.model.refusal.Refusal;
+
+/**
+ * Writes JSON answers and refusals.
+ *
+ * <p>Thread safe.
+ */
+public final class HttpAnswers {
+    /** Header that names the reason of a refusal. */
+    public static final HttpString REFUSAL_HEADER = new HttpString("Bulrushwheel-Refusal");
+
+    /** Header that says whether a refused request can have run: not-run or unknown. */
+    public static final HttpString RUN_STATE_HEADER = new HttpString("Bulrushwheel-Run-State");
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String JSON_TYPE = "application/json";
+
+    private final MetricRegistry metrics;
+
+    /** Answers that count refusals in this registry. */
+    public HttpAnswers(MetricRegistry metrics) {
+        this.metrics = metrics;
+    }
+
+    private record RefusalBody(String reason, String detail, String remedy, String runState) {}
+
+    /** Writes a refusal and counts it under its reason. */
+    public void refuse(HttpServerExchange exchange, Refusal refusal) {
+        metrics.counter("refusals." + refusal.reason().wireName()).inc();
+        if (exchange.isResponseStarted() || exchange.isComplete()) {
+            return;
+        }
+        exchange.getResponseHeaders().put(REFUSAL_HEADER, refusal.reason().wireName());
+        exchange.getResponseHeaders().put(RUN_STATE_HEADER, refusal.runState().headerValue());
+        if (refusal.retryAfterSeconds() > 0) {
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, refusal.retryAfterSeconds());
+        }
+        RefusalBody body = new RefusalBody(
+                refusal.reason().wireName(),
+                refusal.detail(),
+                refusal.reason().remedy(),
+                refusal.runState().headerValue());
+        json(exchange, refusal.reason().httpStatus(), body);
+    }
+
+    /** Writes a value as JSON. */
+    public void json(HttpServerExchange exchange, int status, Object value) {
+        bytes(exchange, status, JSON_TYPE, toJson(value));
+    }
+
+    /** Writes text. */
+    public void text(HttpServerExchange exchange, int status, String text) {
+        bytes(exchange, status, "text/plain; charset=utf-8", text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static void bytes(HttpServerExchange exchange, int status, String type, byte[] body) {
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, type);
+        exchange.getResponseSender().send(ByteBuffer.wrap(body));
+    }
+
+    private static byte[] toJson(Object value) {
+        try {
+            return JSON.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("cannot write " + value.getClass() + " as JSON", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/HttpService.java
@@ -0,0 +1,120 @@
+package org.bulrushwheel.server;
+
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.GracefulShutdownHandler;
+import io.undertow.server.handlers.PathHandler;
+import org.bulrushwheel.kernel.KernelService;
+import org.bulrushwheel.model.instance.Address;
+import org.bulrushwheel.model.refusal.Refusal;
+import org.bulrushwheel.model.refusal.RefusalReason;
+import org.bulrushwheel.model.settings.Settings;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The HTTP listener of an instance. Handlers are added under a path prefix before the start.
+ *
+ * <p>Invariant: a handler that fails answers its own request only. Thread safe once started.
+ */
+public final class HttpService implements KernelService {
+    /** Name in the kernel. */
+    public static final String NAME = "http";
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(HttpService.class);
+    private static final int MAX_HEADER_BYTES = 16 * 1024;
+    private static final int MAX_HEADERS = 100;
+    private static final int IDLE_TIMEOUT_MILLIS = 60_000;
+    private static final int REQUEST_PARSE_TIMEOUT_MILLIS = 10_000;
+
+    private final Address address;
+    private final int ioThreads;
+    private final PathHandler paths = new PathHandler();
+    private final GracefulShutdownHandler shutdown;
+    private final MetricRegistry metrics;
+    private final HttpAnswers answers;
+    private @Nullable Undertow undertow;
+
+    /** A listener on the address of the settings. */
+    public HttpService(Settings settings, int ioThreads, MetricRegistry metrics, HttpAnswers answers) {
+        this.address = Address.parse(settings.httpAddress());
+        this.ioThreads = ioThreads;
+        this.metrics = metrics;
+        this.answers = answers;
+        this.shutdown = new GracefulShutdownHandler(guard(paths));
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    /** Adds a handler for every path below a prefix. */
+    public void handle(String prefix, HttpHandler handler) {
+        paths.addPrefixPath(prefix, handler);
+    }
+
+    /** Adds a handler for one path. */
+    public void handleExact(String path, HttpHandler handler) {
+        paths.addExactPath(path, handler);
+    }
+
+    @Override
+    public void start() {
+        undertow = Undertow.builder()
+                .addHttpListener(address.port(), address.host())
+                .setIoThreads(ioThreads)
+                .setWorkerThreads(4)
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+                .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+                .setServerOption(UndertowOptions.IDLE_TIMEOUT, IDLE_TIMEOUT_MILLIS)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_PARSE_TIMEOUT_MILLIS)
+                .setServerOption(UndertowOptions.ENABLE_STATISTICS, false)
+                .setHandler(shutdown)
+                .build();
+        undertow.start();
+    }
+
+    @Override
+    public void drain(long deadlineNanos) {
+        shutdown.shutdown();
+        long remainingMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+        try {
+            if (!shutdown.awaitShutdown(Math.max(1, remainingMillis))) {
+                metrics.counter("http.drain.incomplete").inc();
+                LOGGER.warn("requests were still in flight at the end of the drain");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void stop() {
+        if (undertow != null) {
+            undertow.stop();
+        }
+    }
+
+    private HttpHandler guard(HttpHandler next) {
+        return exchange -> {
+            try {
+                next.handleRequest(exchange);
+            } catch (RuntimeException e) {
+                failed(exchange, e);
+            }
+        };
+    }
+
+    private void failed(HttpServerExchange exchange, RuntimeException e) {
+        metrics.counter("http.handler.failed").inc();
+        LOGGER.warn("handler failed path={}", exchange.getRequestPath(), e);
+        answers.refuse(exchange, Refusal.unknown(RefusalReason.UPSTREAM_FAILED, "internal fault"));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/admin/package-info.java
@@ -0,0 +1,5 @@
+/** Administration over HTTP. */
+@NullMarked
+package org.bulrushwheel.server.admin;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/gateway/BodyTooLargeException.java
@@ -0,0 +1,16 @@
+package org.bulrushwheel.server.gateway;
+
+import java.io.IOException;
+
+/**
+ * A body is larger than what is buffered.
+ *
+ * <p>Immutable and thread safe.
+ */
+final class BodyTooLargeException extends IOException {
+    private static final long serialVersionUID = 1L;
+
+    BodyTooLargeException(int maxBytes) {
+        super("the body has more than " + maxBytes + " bytes");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/gateway/GatewayExchange.java
@@ -0,0 +1,397 @@
+package org.bulrushwheel.server.gateway;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import io.vavr.control.Either;
+import org.bulrushwheel.model.refusal.Refusal;
+import org.bulrushwheel.model.refusal.RefusalReason;
+import org.bulrushwheel.model.refusal.RunState;
+import org.bulrushwheel.server.HttpAnswers;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/**
+ * The attempts of one request.
+ *
+ * <p>Invariants: at most one attempt is under way; an attempt that may have run is repeated only when the route is
+ * idempotent and nothing of an answer has gone to the caller; the caller sees the answer of exactly one attempt.
+ * Confined to the I/O thread of the exchange.
+ */
+final class GatewayExchange {
+    private static final int MAX_ATTEMPTS = 4;
+    private static final long SILENCE_MILLIS = 2_000;
+
+    private final HttpServerExchange exchange;
+    private final GatewayRequest request;
+    private final GatewayServices services;
+    private final boolean streamed;
+    private final XnioIoThread thread;
+    private final Set<String> failedEndpoints = new HashSet<>();
+
+    private AnswerSink sink = AnswerSink.DIRECT;
+    private int attempts;
+    private boolean earlierAttemptMayHaveRun;
+    private boolean bodyConsumed;
+    private Optional<Attempt> current = Optional.empty();
+
+    GatewayExchange(HttpServerExchange exchange, GatewayRequest request, GatewayServices services, boolean streamed) {
+        this.exchange = exchange;
+        this.request = request;
+        this.services = services;
+        this.streamed = streamed;
+        this.thread = exchange.getIoThread();
+    }
+
+    /** One dispatch to one endpoint. */
+    private static final class Attempt {
+        private final SlotLease lease;
+        private Optional<PooledConnection> connection = Optional.empty();
+        private Optional<XnioExecutor.Key> timer = Optional.empty();
+        private boolean finished;
+
+        Attempt(SlotLease lease) {
+            this.lease = lease;
+        }
+
+        /** Ends the attempt once; false when it had ended before. */
+        boolean finish(AttemptOutcome outcome) {
+            if (finished) {
+                return false;
+            }
+            finished = true;
+            timer.ifPresent(XnioExecutor.Key::remove);
+            lease.release(outcome);
+            return true;
+        }
+    }
+
+    /** Starts; the end goes through the sink. */
+    void run(AnswerSink answerSink) {
+        sink = answerSink;
+        if (request.route().idempotent()) {
+            exchange.addExchangeCompleteListener((done, next) -> {
+                current.filter(attempt -> !attempt.finished).ifPresent(this::abandon);
+                next.proceed();
+            });
+        }
+        attempt();
+    }
+
+    private void attempt() {
+        attempts++;
+        SlotQuery query = new SlotQuery(request.service(), failedEndpoints, request.deadlineMillis());
+        services.slots().acquire(query).thenAccept(result -> thread.execute(() -> onSlot(result)));
+    }
+
+    private void onSlot(Either<Refusal, SlotLease> result) {
+        if (result.isLeft()) {
+            refuse(result.getLeft());
+            return;
+        }
+        Attempt attempt = new Attempt(result.get());
+        current = Optional.of(attempt);
+        if (exchange.isComplete() || remainingMillis() <= 0) {
+            attempt.finish(AttemptOutcome.NEUTRAL);
+            refuse(Refusal.notRun(RefusalReason.DEADLINE_EXCEEDED, "before the request was sent"));
+            return;
+        }
+        startTimer(attempt);
+        services.connections()
+                .checkout(
+                        attempt.lease.upstream(),
+                        thread,
+                        exchange.getConnection().getByteBufferPool(),
+                        !request.route().idempotent() || streamed,
+                        new ClientCallback<>() {
+                            @Override
+                            public void completed(PooledConnection connection) {
+                                onConnected(attempt, connection);
+                            }
+
+                            @Override
+                            public void failed(IOException e) {
+                                onConnectFailed(attempt, e);
+                            }
+                        });
+    }
+
+    private void onConnected(Attempt attempt, PooledConnection connection) {
+        if (attempt.finished) {
+            services.connections().discard(connection, false);
+            return;
+        }
+        attempt.connection = Optional.of(connection);
+        bodyConsumed = bodyConsumed || streamed;
+        connection.connection().sendRequest(upstreamRequest(), new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange clientExchange) {
+                clientExchange.setResponseListener(new ClientCallback<>() {
+                    @Override
+                    public void completed(ClientExchange answered) {
+                        onResponse(attempt, answered);
+                    }
+
+                    @Override
+                    public void failed(IOException e) {
+                        onFailed(attempt, e, false);
+                    }
+                });
+                writeBody(attempt, clientExchange);
+            }
+
+            @Override
+            public void failed(IOException e) {
+                onFailed(attempt, e, false);
+            }
+        });
+    }
+
+    private ClientRequest upstreamRequest() {
+        ClientRequest upstreamRequest =
+                new ClientRequest().setMethod(request.method()).setPath(request.path());
+        HeaderMap headers = upstreamRequest.getRequestHeaders();
+        GatewayHeaders.copyEndToEnd(request.headers(), headers);
+        headers.put(GatewayHeaders.FORWARDED_BY, services.instance());
+        headers.put(GatewayHeaders.TIMEOUT_MILLIS, Math.max(1, remainingMillis()));
+        if (!streamed) {
+            headers.remove(Headers.CONTENT_LENGTH);
+            if (request.body().length > 0) {
+                headers.put(Headers.CONTENT_LENGTH, request.body().length);
+            }
+        } else if (!headers.contains(Headers.CONTENT_LENGTH)) {
+            headers.put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+        }
+        return upstreamRequest;
+    }
+
+    private void writeBody(Attempt attempt, ClientExchange clientExchange) {
+        if (streamed) {
+            BodyStreams.streamRequest(exchange, clientExchange, e -> onFailed(attempt, e, false));
+            return;
+        }
+        BodyStreams.write(clientExchange.getRequestChannel(), request.body(), e -> onFailed(attempt, e, false));
+    }
+
+    private void onResponse(Attempt attempt, ClientExchange clientExchange) {
+        if (attempt.finished) {
+            return;
+        }
+        ClientResponse response = clientExchange.getResponse();
+        HeaderMap headers = response.getResponseHeaders();
+        long lengthBytes = lengthOf(headers);
+        boolean small = lengthBytes >= 0 && lengthBytes <= GatewayHandler.MAX_BUFFERED_BODY_BYTES;
+        boolean bodyless = request.method().equals(Methods.HEAD);
+        if (isNotRun(response)) {
+            onShed(attempt);
+        } else if (small || bodyless || sink.wantsWholeAnswer()) {
+            int maxBytes = sink.wantsWholeAnswer()
+                    ? GatewayHandler.MAX_ONCE_BODY_BYTES
+                    : GatewayHandler.MAX_BUFFERED_BODY_BYTES;
+            BodyReader.read(
+                    clientExchange.getResponseChannel(),
+                    exchange.getConnection().getByteBufferPool(),
+                    maxBytes,
+                    body -> onWholeAnswer(attempt, response, body),
+                    e -> onAnswerBroken(attempt, response, e));
+        } else {
+            stream(attempt, clientExchange);
+        }
+    }
+
+    private void onWholeAnswer(Attempt attempt, ClientResponse response, byte[] body) {
+        if (attempt.finished) {
+            return;
+        }
+        finishAnswered(attempt, response.getResponseHeaders());
+        BufferedAnswer answer =
+                new BufferedAnswer(response.getResponseCode(), callerHeaders(attempt, response), body, true);
+        sink.answered(answer, () -> send(exchange, answer));
+    }
+
+    private void onAnswerBroken(Attempt attempt, ClientResponse response, IOException e) {
+        if (e instanceof BodyTooLargeException && attempt.finish(AttemptOutcome.ANSWERED)) {
+            attempt.connection.ifPresent(connection -> services.connections().discard(connection, false));
+            BufferedAnswer tooLarge =
+                    new BufferedAnswer(response.getResponseCode(), new HeaderMap(), new byte[0], false);
+            sink.answered(tooLarge, () -> services.answers()
+                    .refuse(
+                            exchange,
+                            Refusal.unknown(RefusalReason.ANSWER_NOT_KEPT, "the answer is larger than what is kept")));
+            return;
+        }
+        onFailed(attempt, e, false);
+    }
+
+    private void stream(Attempt attempt, ClientExchange clientExchange) {
+        ClientResponse response = clientExchange.getResponse();
+        exchange.setStatusCode(response.getResponseCode());
+        exchange.getResponseHeaders().putAll(callerHeaders(attempt, response));
+        long lengthBytes = lengthOf(response.getResponseHeaders());
+        if (lengthBytes >= 0) {
+            exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, lengthBytes);
+        }
+        BodyStreams.streamResponse(
+                exchange,
+                clientExchange,
+                () -> finishAnswered(attempt, response.getResponseHeaders()),
+                e -> onStreamBroken(attempt));
+    }
+
+    /** Part of the answer has gone out: only a reset tells the caller that the rest is missing. */
+    private void onStreamBroken(Attempt attempt) {
+        if (attempt.finish(AttemptOutcome.FAILED)) {
+            services.metrics().counter("gateway.answers.cut").inc();
+            attempt.connection.ifPresent(connection -> services.connections().discard(connection, false));
+        }
+        org.xnio.IoUtils.safeClose(exchange.getConnection());
+    }
+
+    private void onShed(Attempt attempt) {
+        attempt.connection.ifPresent(connection -> services.connections().discard(connection, false));
+        if (attempt.finish(AttemptOutcome.SHED)) {
+            Refusal refusal = Refusal.notRun(
+                    RefusalReason.UPSTREAM_SHED, attempt.lease.upstream().id());
+            retryOr(attempt, "shed", refusal.withRetryAfterSeconds(1));
+        }
+    }
+
+    private void onConnectFailed(Attempt attempt, IOException e) {
+        if (attempt.finish(AttemptOutcome.CONNECT_FAILED)) {
+            retryOr(
+                    attempt,
+                    "connect-failed",
+                    Refusal.notRun(
+                            RefusalReason.UPSTREAM_CONNECT_FAILED,
+                            attempt.lease.upstream().id() + ": " + e.getMessage()));
+        }
+    }
+
+    private void onFailed(Attempt attempt, IOException e, boolean silent) {
+        if (!attempt.finish(AttemptOutcome.FAILED)) {
+            return;
+        }
+        attempt.connection.ifPresent(connection -> services.connections().discard(connection, silent));
+        earlierAttemptMayHaveRun = true;
+        Refusal refusal = Refusal.unknown(
+                RefusalReason.UPSTREAM_FAILED, attempt.lease.upstream().id() + ": " + e.getMessage());
+        if (request.route().idempotent()) {
+            retryOr(attempt, silent ? "silent" : "failed", refusal);
+        } else {
+            refuse(refusal);
+        }
+    }
+
+    private void retryOr(Attempt attempt, String reason, Refusal refusal) {
+        failedEndpoints.add(attempt.lease.upstream().id());
+        boolean allowed = attempts < MAX_ATTEMPTS
+                && !bodyConsumed
+                && remainingMillis() > 0
+                && !exchange.isResponseStarted()
+                && services.retries().tryRetry();
+        if (!allowed) {
+            refuse(refusal);
+            return;
+        }
+        services.metrics().counter("gateway.retries." + reason).inc();
+        attempt();
+    }
+
+    private void startTimer(Attempt attempt) {
+        long waitMillis = Math.min(SILENCE_MILLIS, remainingMillis());
+        attempt.timer = Optional.of(
+                thread.executeAfter(() -> onTimer(attempt), Math.max(1, waitMillis), TimeUnit.MILLISECONDS));
+    }
+
+    private void onTimer(Attempt attempt) {
+        if (attempt.finished || exchange.isResponseStarted()) {
+            return;
+        }
+        boolean sent = attempt.connection.isPresent();
+        boolean expired = remainingMillis() <= 0;
+        if (!sent) {
+            onConnectFailed(attempt, new IOException("no connection within " + SILENCE_MILLIS + " ms"));
+        } else if (expired) {
+            attempt.connection.ifPresent(connection -> services.connections().discard(connection, true));
+            attempt.finish(AttemptOutcome.FAILED);
+            refuse(Refusal.unknown(RefusalReason.DEADLINE_EXCEEDED, "no answer in time"));
+        } else if (request.route().idempotent()) {
+            onFailed(attempt, new IOException("no answer for " + SILENCE_MILLIS + " ms"), true);
+        } else {
+            startTimer(attempt);
+        }
+    }
+
+    private void abandon(Attempt attempt) {
+        attempt.connection.ifPresent(connection -> services.connections().discard(connection, false));
+        attempt.finish(AttemptOutcome.NEUTRAL);
+    }
+
+    private void refuse(Refusal refusal) {
+        RunState runState = earlierAttemptMayHaveRun ? RunState.UNKNOWN : refusal.runState();
+        Refusal truthful = new Refusal(refusal.reason(), refusal.detail(), runState, refusal.retryAfterSeconds());
+        sink.refused(truthful, () -> services.answers().refuse(exchange, truthful));
+    }
+
+    private void finishAnswered(Attempt attempt, HeaderMap headers) {
+        if (!attempt.finish(AttemptOutcome.ANSWERED)) {
+            return;
+        }
+        services.metrics().meter("gateway.answers").mark();
+        boolean close = "close".equalsIgnoreCase(headers.getFirst(Headers.CONNECTION));
+        attempt.connection.ifPresent(connection -> {
+            if (close) {
+                services.connections().discard(connection, false);
+            } else {
+                services.connections().giveBack(connection, thread);
+            }
+        });
+    }
+
+    private HeaderMap callerHeaders(Attempt attempt, ClientResponse response) {
+        HeaderMap headers = new HeaderMap();
+        GatewayHeaders.copyEndToEnd(response.getResponseHeaders(), headers);
+        headers.put(GatewayHeaders.UPSTREAM, attempt.lease.upstream().endpoint());
+        if (!request.method().equals(Methods.HEAD)) {
+            headers.remove(Headers.CONTENT_LENGTH);
+        }
+        return headers;
+    }
+
+    /** Sends a buffered answer to the caller. */
+    static void send(HttpServerExchange exchange, BufferedAnswer answer) {
+        exchange.setStatusCode(answer.status());
+        exchange.getResponseHeaders().putAll(answer.headers());
+        if (answer.body().length == 0) {
+            exchange.endExchange();
+            return;
+        }
+        exchange.getResponseSender().send(ByteBuffer.wrap(answer.body()));
+    }
+
+    private static boolean isNotRun(ClientResponse response) {
+        String runState = response.getResponseHeaders().getFirst(HttpAnswers.RUN_STATE_HEADER);
+        return RunState.NOT_RUN.headerValue().equals(runState);
+    }
+
+    private static long lengthOf(HeaderMap headers) {
+        String length = headers.getFirst(Headers.CONTENT_LENGTH);
+        return length == null ? -1 : Long.parseLong(length);
+    }
+
+    private long remainingMillis() {
+        return request.deadlineMillis() - services.time().monotonicMillis();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/gateway/GatewayHandler.java
@@ -0,0 +1,199 @@
+package org.bulrushwheel.server.gateway;
+
+import java.io.IOException;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
+import io.vavr.control.Either;
+import org.bulrushwheel.logic.retry.RetryBudget;
+import org.bulrushwheel.logic.time.TimeSource;
+import org.bulrushwheel.model.config.Configuration;
+import org.bulrushwheel.model.config.Route;
+import org.bulrushwheel.model.config.ServiceDefinition;
+import org.bulrushwheel.model.config.VersionedConfiguration;
+import org.bulrushwheel.model.refusal.Refusal;
+import org.bulrushwheel.model.refusal.RefusalReason;
+import org.bulrushwheel.server.HttpAnswers;
+
+/**
+ * Entrance of the gateway: {@code /services/SERVICE/PATH} reads a request, refuses what is wrong with it, and starts
+ * its {@link GatewayExchange}.
+ *
+ * <p>Thread safe.
+ */
+public final class GatewayHandler implements HttpHandler {
+    /** Path below which requests are carried to upstreams. */
+    public static final String PREFIX = "/services";
+
+    /** Largest body of a request that must run at most once, and of an answer that is kept for its resends. */
+    public static final int MAX_ONCE_BODY_BYTES = 1024 * 1024;
+
+    /** Bodies up to this size are buffered, so that an attempt can be repeated; larger ones are streamed. */
+    public static final int MAX_BUFFERED_BODY_BYTES = 64 * 1024;
+
+    private static final int MAX_KEY_LENGTH = 255;
+    private static final long RETRIES_PER_THOUSAND = 100;
+    private static final long RETRY_RESERVE = 20;
+
+    private final Supplier<VersionedConfiguration> configuration;
+    private final GatewayServices services;
+
+    /** A gateway under the configuration that the supplier gives. */
+    public GatewayHandler(
+            String instance,
+            Supplier<VersionedConfiguration> configuration,
+            SlotSource slots,
+            RunLedger ledger,
+            TimeSource time,
+            MetricRegistry metrics,
+            HttpAnswers answers) {
+        this.configuration = configuration;
+        this.services = new GatewayServices(
+                instance,
+                slots,
+                ledger,
+                new UpstreamConnections(time, metrics),
+                new RetryBudget(RETRIES_PER_THOUSAND, RETRY_RESERVE),
+                time,
+                metrics,
+                answers);
+    }
+
+    /** Closes connections to endpoints that were idle for long. */
+    public void closeExpiredConnections() {
+        services.connections().closeExpired();
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        services.metrics().meter("gateway.requests").mark();
+        services.retries().onRequest();
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> read(exchange));
+    }
+
+    private void read(HttpServerExchange exchange) {
+        Either<Refusal, GatewayRequest> request = parse(exchange);
+        if (request.isLeft()) {
+            services.answers().refuse(exchange, request.getLeft());
+            return;
+        }
+        if (mustStream(exchange, request.get())) {
+            start(exchange, request.get(), true);
+            return;
+        }
+        int maxBytes = request.get().route().idempotent() ? MAX_BUFFERED_BODY_BYTES : MAX_ONCE_BODY_BYTES;
+        BodyReader.read(
+                exchange.getRequestChannel(),
+                exchange.getConnection().getByteBufferPool(),
+                maxBytes,
+                body -> start(exchange, withBody(request.get(), body), false),
+                error -> refuseBody(exchange, error));
+    }
+
+    private void start(HttpServerExchange exchange, GatewayRequest request, boolean streamed) {
+        GatewayExchange attempts = new GatewayExchange(exchange, request, services, streamed);
+        if (request.route().idempotent()) {
+            attempts.run(AnswerSink.DIRECT);
+            return;
+        }
+        new OnceGuard(exchange, request, services, attempts).run();
+    }
+
+    private Either<Refusal, GatewayRequest> parse(HttpServerExchange exchange) {
+        Configuration current = configuration.get().configuration();
+        if (configuration.get().version() == 0) {
+            return refuse(RefusalReason.NO_CONFIGURATION, "no configuration is in force here");
+        }
+        if (exchange.getRequestHeaders().contains(GatewayHeaders.FORWARDED_BY)) {
+            return refuse(RefusalReason.FORWARD_LOOP, "another entry instance has forwarded this request");
+        }
+        String path = exchange.getRelativePath();
+        int slash = path.indexOf('/', 1);
+        String serviceName = slash < 0 ? path.substring(Math.min(1, path.length())) : path.substring(1, slash);
+        String servicePath = slash < 0 ? "/" : path.substring(slash);
+        Optional<ServiceDefinition> service = current.service(serviceName);
+        if (service.isEmpty()) {
+            return refuse(RefusalReason.UNKNOWN_SERVICE, serviceName);
+        }
+        Optional<Route> route =
+                service.get().routeFor(exchange.getRequestMethod().toString(), servicePath);
+        if (route.isEmpty()) {
+            return refuse(RefusalReason.UNKNOWN_ROUTE, exchange.getRequestMethod() + " " + servicePath);
+        }
+        return parse(exchange, serviceName, route.get());
+    }
+
+    private Either<Refusal, GatewayRequest> parse(HttpServerExchange exchange, String service, Route route) {
+        Optional<String> key = header(exchange, GatewayHeaders.IDEMPOTENCY_KEY);
+        if (!route.idempotent() && key.filter(text -> !text.isBlank()).isEmpty()) {
+            return refuse(RefusalReason.IDEMPOTENCY_KEY_MISSING, route.method() + " " + route.pathPrefix());
+        }
+        if (key.filter(text -> text.length() > MAX_KEY_LENGTH).isPresent()) {
+            return refuse(
+                    RefusalReason.MALFORMED_REQUEST, "the Idempotency-Key has more than " + MAX_KEY_LENGTH + " chars");
+        }
+        Optional<String> timeout = header(exchange, GatewayHeaders.TIMEOUT_MILLIS);
+        if (timeout.filter(text -> !text.matches("[1-9][0-9]{0,8}")).isPresent()) {
+            return refuse(RefusalReason.MALFORMED_REQUEST, "Bulrushwheel-Timeout-Millis must be a number above 0");
+        }
+        long timeoutMillis = Math.min(timeout.map(Long::valueOf).orElse(route.timeoutMillis()), route.timeoutMillis());
+        return Either.right(new GatewayRequest(
+                service,
+                route,
+                exchange.getRequestMethod(),
+                upstreamPath(exchange, service),
+                exchange.getRequestHeaders(),
+                new byte[0],
+                key,
+                services.time().monotonicMillis() + timeoutMillis));
+    }
+
+    /** The path as the caller encoded it, behind the service's name, with its query. */
+    private static String upstreamPath(HttpServerExchange exchange, String service) {
+        String uri = exchange.getRequestURI();
+        int start = uri.indexOf(PREFIX + "/") + PREFIX.length() + 1;
+        int slash = uri.indexOf('/', start);
+        String path = slash < 0 ? "/" : uri.substring(slash);
+        String query = exchange.getQueryString();
+        return query.isEmpty() ? path : path + "?" + query;
+    }
+
+    private static boolean mustStream(HttpServerExchange exchange, GatewayRequest request) {
+        if (!request.route().idempotent() || exchange.isRequestComplete()) {
+            return false;
+        }
+        long lengthBytes = exchange.getRequestContentLength();
+        return lengthBytes < 0 || lengthBytes > MAX_BUFFERED_BODY_BYTES;
+    }
+
+    private static GatewayRequest withBody(GatewayRequest request, byte[] body) {
+        return new GatewayRequest(
+                request.service(),
+                request.route(),
+                request.method(),
+                request.path(),
+                request.headers(),
+                body,
+                request.idempotencyKey(),
+                request.deadlineMillis());
+    }
+
+    private void refuseBody(HttpServerExchange exchange, IOException error) {
+        exchange.setPersistent(false);
+        RefusalReason reason =
+                error instanceof BodyTooLargeException ? RefusalReason.BODY_TOO_LARGE : RefusalReason.BODY_INCOMPLETE;
+        services.answers().refuse(exchange, Refusal.notRun(reason, String.valueOf(error.getMessage())));
+    }
+
+    private static Optional<String> header(HttpServerExchange exchange, io.undertow.util.HttpString name) {
+        return Optional.ofNullable(exchange.getRequestHeaders().getFirst(name));
+    }
+
+    private static <T> Either<Refusal, T> refuse(RefusalReason reason, String detail) {
+        return Either.left(Refusal.notRun(reason, detail));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/gateway/GatewayHeaders.java
@@ -0,0 +1,53 @@
+package org.bulrushwheel.server.gateway;
+
+import java.util.Set;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+
+/**
+ * Headers that the gateway reads, writes or leaves out.
+ *
+ * <p>Stateless and thread safe.
+ */
+final class GatewayHeaders {
+    static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
+    static final HttpString TIMEOUT_MILLIS = new HttpString("Bulrushwheel-Timeout-Millis");
+    static final HttpString FORWARDED_BY = new HttpString("Bulrushwheel-Forwarded-By");
+    static final HttpString REPLAYED = new HttpString("Bulrushwheel-Replayed");
+    static final HttpString UPSTREAM = new HttpString("Bulrushwheel-Upstream");
+
+    /** Headers that describe one connection and are never passed on (RFC 9110, 7.6.1). */
+    private static final Set<HttpString> HOP_BY_HOP = Set.of(
+            Headers.CONNECTION,
+            new HttpString("Keep-Alive"),
+            Headers.PROXY_AUTHENTICATE,
+            Headers.PROXY_AUTHORIZATION,
+            Headers.TE,
+            Headers.TRAILER,
+            Headers.TRANSFER_ENCODING,
+            Headers.UPGRADE,
+            Headers.EXPECT);
+
+    private GatewayHeaders() {}
+
+    static void copyEndToEnd(HeaderMap from, HeaderMap to) {
+        for (HeaderValues values : from) {
+            if (!HOP_BY_HOP.contains(values.getHeaderName()) && !isNamedByConnection(from, values.getHeaderName())) {
+                to.putAll(values.getHeaderName(), values);
+            }
+        }
+    }
+
+    private static boolean isNamedByConnection(HeaderMap headers, HttpString name) {
+        HeaderValues connection = headers.get(Headers.CONNECTION);
+        if (connection == null) {
+            return false;
+        }
+        return connection.stream()
+                .flatMap(value -> java.util.Arrays.stream(value.split(",")))
+                .anyMatch(token -> name.equalToString(token.strip()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/gateway/OnceGuard.java
@@ -0,0 +1,150 @@
+package org.bulrushwheel.server.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.UUID;
+
+import com.google.protobuf.ByteString;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.HttpString;
+import org.bulrushwheel.model.proto.ClaimKey;
+import org.bulrushwheel.model.proto.CommandResult;
+import org.bulrushwheel.model.proto.HeaderField;
+import org.bulrushwheel.model.proto.StoredAnswer;
+import org.bulrushwheel.model.refusal.Refusal;
+import org.bulrushwheel.model.refusal.RefusalReason;
+import org.bulrushwheel.model.refusal.RunState;
+
+/**
+ * Runs a non-idempotent request at most once: the key is claimed before the first attempt, and the answer is stored
+ * before the caller sees it.
+ *
+ * <p>Invariant: nothing is dispatched without a claim of this attempt; a claim is given back only when no upstream can
+ * have run the request. Confined to the I/O thread of the exchange.
+ */
+final class OnceGuard implements AnswerSink {
+    private final HttpServerExchange exchange;
+    private final GatewayRequest request;
+    private final GatewayServices services;
+    private final GatewayExchange attempts;
+    private final ClaimKey claim;
+
+    OnceGuard(HttpServerExchange exchange, GatewayRequest request, GatewayServices services, GatewayExchange attempts) {
+        this.exchange = exchange;
+        this.request = request;
+        this.services = services;
+        this.attempts = attempts;
+        this.claim = ClaimKey.newBuilder()
+                .setService(request.service())
+                .setKey(request.idempotencyKey().orElseThrow())
+                .setRequestDigest(digest(request))
+                .setClaimId(UUID.randomUUID().toString())
+                .build();
+    }
+
+    /** Claims the key and goes on with the first attempt, or answers from the ledger. */
+    void run() {
+        services.ledger().claim(claim).thenAccept(result -> exchange.getIoThread()
+                .execute(() -> onClaim(result)));
+    }
+
+    @Override
+    public boolean wantsWholeAnswer() {
+        return true;
+    }
+
+    @Override
+    public void answered(BufferedAnswer answer, Runnable send) {
+        services.ledger()
+                .complete(claim, toStored(answer), answer.complete())
+                .whenComplete((result, error) -> exchange.getIoThread().execute(send));
+    }
+
+    @Override
+    public void refused(Refusal refusal, Runnable send) {
+        if (refusal.runState() == RunState.NOT_RUN) {
+            services.ledger().release(claim).whenComplete((result, error) -> exchange.getIoThread()
+                    .execute(send));
+            return;
+        }
+        services.ledger().completeUnknown(claim);
+        send.run();
+    }
+
+    private void onClaim(CommandResult result) {
+        switch (result.getKind()) {
+            case KEY_CLAIMED -> attempts.run(this);
+            case KEY_COMPLETED -> replay(result);
+            case KEY_IN_PROGRESS -> refuseStanding(result);
+            case KEY_DIGEST_MISMATCH ->
+                refuse(Refusal.notRun(RefusalReason.IDEMPOTENCY_KEY_REUSED, "the key stands for another request"));
+            default -> {
+                services.ledger().release(claim);
+                refuse(Refusal.notRun(RefusalReason.LEDGER_UNAVAILABLE, "the key could not be claimed")
+                        .withRetryAfterSeconds(1));
+            }
+        }
+    }
+
+    private void refuseStanding(CommandResult result) {
+        boolean alive = services.ledger().isHolderAlive(result.getHolder(), result.getHolderIncarnation());
+        RefusalReason reason = alive ? RefusalReason.REQUEST_IN_PROGRESS : RefusalReason.OUTCOME_UNKNOWN;
+        refuse(Refusal.unknown(reason, "held by " + result.getHolder()).withRetryAfterSeconds(alive ? 1 : 0));
+    }
+
+    private void replay(CommandResult result) {
+        if (result.getOutcomeUnknown()) {
+            refuse(Refusal.unknown(RefusalReason.OUTCOME_UNKNOWN, "the first attempt ended without an answer"));
+            return;
+        }
+        if (!result.getAnswerKept()) {
+            refuse(Refusal.unknown(RefusalReason.ANSWER_NOT_KEPT, "the request ran once"));
+            return;
+        }
+        services.metrics().counter("gateway.answers.replayed").inc();
+        HeaderMap headers = new HeaderMap();
+        for (HeaderField field : result.getAnswer().getHeadersList()) {
+            headers.add(new HttpString(field.getName()), field.getValue());
+        }
+        headers.put(GatewayHeaders.REPLAYED, "true");
+        GatewayExchange.send(
+                exchange,
+                new BufferedAnswer(
+                        result.getAnswer().getStatus(),
+                        headers,
+                        result.getAnswer().getBody().toByteArray(),
+                        true));
+    }
+
+    private void refuse(Refusal refusal) {
+        services.answers().refuse(exchange, refusal);
+    }
+
+    private static StoredAnswer toStored(BufferedAnswer answer) {
+        StoredAnswer.Builder stored =
+                StoredAnswer.newBuilder().setStatus(answer.status()).setBody(ByteString.copyFrom(answer.body()));
+        for (HeaderValues values : answer.headers()) {
+            values.forEach(value -> stored.addHeaders(HeaderField.newBuilder()
+                    .setName(values.getHeaderName().toString())
+                    .setValue(value)));
+        }
+        return stored.build();
+    }
+
+    private static ByteString digest(GatewayRequest request) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            digest.update(request.method().toString().getBytes(StandardCharsets.UTF_8));
+            digest.update((byte) 0);
+            digest.update(request.path().getBytes(StandardCharsets.UTF_8));
+            digest.update((byte) 0);
+            digest.update(request.body());
+            return ByteString.copyFrom(digest.digest());
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("this Java has no SHA-256; run another one", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/gateway/PooledConnection.java
@@ -0,0 +1,14 @@
+package org.bulrushwheel.server.gateway;
+
+import io.undertow.client.ClientConnection;
+
+/**
+ * A connection to an endpoint.
+ *
+ * <p>Immutable; the connection itself is used by one request at a time.
+ *
+ * @param connection the connection
+ * @param address address of the endpoint
+ * @param openedMillis monotonic time of its opening
+ */
+record PooledConnection(ClientConnection connection, String address, long openedMillis) {}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/gateway/SlotLease.java
@@ -0,0 +1,12 @@
+package org.bulrushwheel.server.gateway;
+
+import org.bulrushwheel.model.upstream.Upstream;
+
+/** Permission to run one request on one endpoint. Held by one request at a time. */
+public interface SlotLease {
+    /** Returns the endpoint. */
+    Upstream upstream();
+
+    /** Gives the permission back, once; says how the request ended. */
+    void release(AttemptOutcome outcome);
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/lookup/LookupHandler.java
@@ -0,0 +1,127 @@
+package org.bulrushwheel.server.lookup;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import org.bulrushwheel.logic.lookup.ClientBlockTable;
+import org.bulrushwheel.logic.lookup.EntrySelector;
+import org.bulrushwheel.logic.time.TimeSource;
+import org.bulrushwheel.model.config.VersionedConfiguration;
+import org.bulrushwheel.model.instance.Instance;
+import org.bulrushwheel.model.refusal.Refusal;
+import org.bulrushwheel.model.refusal.RefusalReason;
+import org.bulrushwheel.server.HttpAnswers;
+
+/**
+ * {@code GET /v1/lookup?service=NAME[&client=ADDRESS]}: which entry instances to use, and until when the answer may be
+ * cached.
+ *
+ * <p>Thread safe: what depends on the configuration is replaced as a whole.
+ */
+public final class LookupHandler implements HttpHandler {
+    /** Path of look-ups. */
+    public static final String PATH = "/v1/lookup";
+
+    /** How long an answer may be cached; an instance that leaves serves on for as long. */
+    public static final long CACHE_MILLIS = 10_000;
+
+    private static final int MAX_ENTRIES = 3;
+
+    private final String ownZone;
+    private final Supplier<List<Instance>> instances;
+    private final TimeSource time;
+    private final HttpAnswers answers;
+    private final Meter lookups;
+    private volatile Tables tables = Tables.of(VersionedConfiguration.NONE);
+
+    /** A handler that answers with these instances. */
+    public LookupHandler(
+            String ownZone,
+            Supplier<List<Instance>> instances,
+            TimeSource time,
+            HttpAnswers answers,
+            MetricRegistry metrics) {
+        this.ownZone = ownZone;
+        this.instances = instances;
+        this.time = time;
+        this.answers = answers;
+        this.lookups = metrics.meter("lookups");
+    }
+
+    private record Tables(VersionedConfiguration configuration, EntrySelector selector, ClientBlockTable blocks) {
+        static Tables of(VersionedConfiguration configuration) {
+            return new Tables(
+                    configuration,
+                    new EntrySelector(configuration.configuration()),
+                    ClientBlockTable.of(configuration.configuration().clientBlocks()));
+        }
+    }
+
+    /**
+     * One entry instance of an answer.
+     *
+     * @param instance name
+     * @param zone availability zone
+     * @param address HTTP address as IP:PORT
+     */
+    public record Entry(String instance, String zone, String address) {}
+
+    /**
+     * Answer to a look-up.
+     *
+     * @param service service asked for
+     * @param configurationVersion version in force
+     * @param cacheUntilEpochMillis when the answer must be asked for again
+     * @param entries instances, best first
+     */
+    public record Answer(String service, long configurationVersion, long cacheUntilEpochMillis, List<Entry> entries) {}
+
+    /** Takes a new configuration. */
+    public void configure(VersionedConfiguration configuration) {
+        tables = Tables.of(configuration);
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        lookups.mark();
+        Tables now = tables;
+        Optional<String> service = parameter(exchange, "service");
+        if (service.isEmpty()) {
+            answers.refuse(
+                    exchange, Refusal.notRun(RefusalReason.MALFORMED_REQUEST, "the query must be ?service=NAME"));
+        } else if (now.configuration().version() == 0) {
+            answers.refuse(
+                    exchange,
+                    Refusal.notRun(RefusalReason.NO_CONFIGURATION, "no configuration is in force here")
+                            .withRetryAfterSeconds(1));
+        } else if (now.configuration().configuration().service(service.get()).isEmpty()) {
+            answers.refuse(exchange, Refusal.notRun(RefusalReason.UNKNOWN_SERVICE, service.get()));
+        } else {
+            answer(exchange, now, service.get());
+        }
+    }
+
+    private void answer(HttpServerExchange exchange, Tables now, String service) {
+        String client = parameter(exchange, "client")
+                .orElseGet(() -> exchange.getSourceAddress().getAddress().getHostAddress());
+        String zone = now.blocks().zoneOf(client).orElse(ownZone);
+        List<Entry> entries = now.selector().select(instances.get(), zone, client.hashCode(), MAX_ENTRIES).stream()
+                .map(instance -> new Entry(instance.name(), instance.zone(), instance.httpAddress()))
+                .toList();
+        exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "max-age=" + CACHE_MILLIS / 1_000);
+        answers.json(
+                exchange,
+                200,
+                new Answer(service, now.configuration().version(), time.epochMillis() + CACHE_MILLIS, entries));
+    }
+
+    private static Optional<String> parameter(HttpServerExchange exchange, String name) {
+        return Optional.ofNullable(exchange.getQueryParameters().get(name)).map(values -> values.getFirst());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/lookup/package-info.java
@@ -0,0 +1,5 @@
+/** Look-ups of entry instances over HTTP. */
+@NullMarked
+package org.bulrushwheel.server.lookup;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/package-info.java
@@ -0,0 +1,5 @@
+/** HTTP listener and the handlers behind it. */
+@NullMarked
+package org.bulrushwheel.server;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/status/package-info.java
@@ -0,0 +1,5 @@
+/** Health, metrics and status pages. */
+@NullMarked
+package org.bulrushwheel.server.status;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/upstreams/package-info.java
@@ -0,0 +1,5 @@
+/** Announcements of upstreams. */
+@NullMarked
+package org.bulrushwheel.server.upstreams;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/wire/PeerLink.java
@@ -0,0 +1,86 @@
+package org.bulrushwheel.wire;
+
+import java.util.ArrayDeque;
+import java.util.Queue;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import org.bulrushwheel.model.instance.Address;
+import org.bulrushwheel.model.proto.Frame;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Outgoing connection to one peer, opened when a frame is sent and replaced when it ends.
+ *
+ * <p>Invariant: at most one connection is open or being opened. Frames may be lost when a connection ends. Thread
+ * safe: guarded by itself.
+ */
+final class PeerLink {
+    private static final int MAX_WAITING_FRAMES = 1024;
+    private static final long RECONNECT_PAUSE_NANOS = 100_000_000L;
+
+    private final Address address;
+    private final Bootstrap bootstrap;
+    private final MetricRegistry metrics;
+    private final Queue<Frame> waiting = new ArrayDeque<>();
+    private @Nullable Channel channel;
+    private boolean connecting;
+    private long nextAttemptNanos = System.nanoTime();
+
+    PeerLink(Address address, Bootstrap bootstrap, MetricRegistry metrics) {
+        this.address = address;
+        this.bootstrap = bootstrap;
+        this.metrics = metrics;
+    }
+
+    synchronized void send(Frame frame) {
+        if (channel != null && channel.isActive()) {
+            channel.writeAndFlush(frame, channel.voidPromise());
+            return;
+        }
+        if (waiting.size() >= MAX_WAITING_FRAMES) {
+            metrics.counter("peers.frames.dropped").inc();
+            waiting.poll();
+        }
+        waiting.add(frame);
+        connect();
+    }
+
+    synchronized void close() {
+        if (channel != null) {
+            channel.close();
+        }
+        waiting.clear();
+    }
+
+    private void connect() {
+        if (connecting) {
+            return;
+        }
+        if (System.nanoTime() - nextAttemptNanos < 0) {
+            metrics.counter("peers.frames.dropped").inc(waiting.size());
+            waiting.clear();
+            return;
+        }
+        connecting = true;
+        bootstrap.connect(address.toSocketAddress()).addListener(future -> connected((ChannelFuture) future));
+    }
+
+    private synchronized void connected(ChannelFuture future) {
+        connecting = false;
+        if (!future.isSuccess()) {
+            nextAttemptNanos = System.nanoTime() + RECONNECT_PAUSE_NANOS;
+            metrics.counter("peers.connections.refused").inc();
+            metrics.counter("peers.frames.dropped").inc(waiting.size());
+            waiting.clear();
+            return;
+        }
+        Channel opened = future.channel();
+        channel = opened;
+        waiting.forEach(frame -> opened.write(frame, opened.voidPromise()));
+        opened.flush();
+        waiting.clear();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/wire/PeerNetwork.java
@@ -0,0 +1,163 @@
+package org.bulrushwheel.wire;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.bulrushwheel.kernel.KernelService;
+import org.bulrushwheel.model.instance.Address;
+import org.bulrushwheel.model.instance.Instance;
+import org.bulrushwheel.model.proto.Frame;
+import org.bulrushwheel.model.settings.Settings;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends frames to peers by name and hands received frames to the handler of their kind.
+ *
+ * <p>Invariant: a frame is delivered at most once; it may be lost. Thread safe once started.
+ */
+public final class PeerNetwork implements KernelService {
+    /** Name in the kernel. */
+    public static final String NAME = "peers";
+
+    private static final int MAX_FRAME_BYTES = 64 * 1024 * 1024;
+    private static final int EVENT_LOOP_THREADS = 2;
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+    private final Instance self;
+    private final MetricRegistry metrics;
+    private final Map<String, Instance> peersByName = new ConcurrentHashMap<>();
+    private final Map<String, PeerLink> linksByName = new ConcurrentHashMap<>();
+    private final Map<Frame.BodyCase, FrameHandler> handlers = new EnumMap<>(Frame.BodyCase.class);
+    private final Map<Long, CompletableFuture<Frame>> pendingCalls = new ConcurrentHashMap<>();
+    private final AtomicLong nextCorrelationId = new AtomicLong(1);
+    private final EventLoopGroup eventLoops;
+    private final Bootstrap clientBootstrap;
+    private @Nullable Channel server;
+
+    /** A network of the instances in the settings. */
+    public PeerNetwork(Settings settings, MetricRegistry metrics) {
+        this.self = settings.self();
+        this.metrics = metrics;
+        settings.peers().forEach(peer -> peersByName.put(peer.name(), peer));
+        this.eventLoops = new MultiThreadIoEventLoopGroup(
+                EVENT_LOOP_THREADS, new DefaultThreadFactory("peers", true), NioIoHandler.newFactory());
+        this.clientBootstrap = new Bootstrap()
+                .group(eventLoops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(new FrameCodec(MAX_FRAME_BYTES, metrics, this::onFrame));
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    /** Sets the handler of a kind of frame; to be called before the start. */
+    public void handle(Frame.BodyCase kind, FrameHandler handler) {
+        handlers.put(kind, handler);
+    }
+
+    @Override
+    public void start() {
+        Address address = Address.parse(self.peerAddress());
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(eventLoops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new FrameCodec(MAX_FRAME_BYTES, metrics, this::onFrame));
+        server = bootstrap.bind(address.toSocketAddress()).syncUninterruptibly().channel();
+    }
+
+    @Override
+    public void stop() {
+        if (server != null) {
+            server.close().syncUninterruptibly();
+        }
+        linksByName.values().forEach(PeerLink::close);
+        eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2, TimeUnit.SECONDS);
+    }
+
+    /** Sends a frame without an answer; to this instance itself it is handed over directly. */
+    public void send(String peer, Frame.Builder frame) {
+        metrics.meter("peers.frames.sent").mark();
+        deliver(peer, frame.setSender(self.name()).build());
+    }
+
+    /** Sends a frame and completes with its answer, or exceptionally at the timeout. */
+    public CompletableFuture<Frame> call(String peer, Frame.Builder frame, long timeoutMillis) {
+        long correlationId = nextCorrelationId.getAndIncrement();
+        CompletableFuture<Frame> answer = new CompletableFuture<>();
+        pendingCalls.put(correlationId, answer);
+        eventLoops
+                .next()
+                .schedule(
+                        () -> answer.completeExceptionally(new PeerUnreachableException(peer)),
+                        timeoutMillis,
+                        TimeUnit.MILLISECONDS);
+        answer.whenComplete((frameOrNull, error) -> pendingCalls.remove(correlationId));
+        send(peer, frame.setCorrelationId(correlationId));
+        return answer;
+    }
+
+    private void deliver(String peer, Frame frame) {
+        if (peer.equals(self.name())) {
+            eventLoops.execute(() -> dispatch(frame, reply -> completeCall(reply.build())));
+            return;
+        }
+        Instance instance = peersByName.get(peer);
+        if (instance == null) {
+            metrics.counter("peers.frames.unknown-peer").inc();
+            return;
+        }
+        linksByName
+                .computeIfAbsent(
+                        peer, name -> new PeerLink(Address.parse(instance.peerAddress()), clientBootstrap, metrics))
+                .send(frame);
+    }
+
+    private void onFrame(ChannelHandlerContext context, Frame frame) {
+        if (frame.getReply()) {
+            completeCall(frame);
+            return;
+        }
+        dispatch(frame, reply -> context.channel().writeAndFlush(reply.build()));
+    }
+
+    private void dispatch(Frame frame, java.util.function.Consumer<Frame.Builder> channel) {
+        FrameHandler handler = handlers.get(frame.getBodyCase());
+        if (handler == null) {
+            metrics.counter("peers.refused.frame-unexpected").inc();
+            return;
+        }
+        handler.onFrame(
+                frame,
+                reply -> channel.accept(
+                        reply.setReply(true).setSender(self.name()).setCorrelationId(frame.getCorrelationId())));
+    }
+
+    private void completeCall(Frame frame) {
+        CompletableFuture<Frame> pending = pendingCalls.get(frame.getCorrelationId());
+        if (pending != null) {
+            pending.complete(frame);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/wire/package-info.java
@@ -0,0 +1,5 @@
+/** Messages between instances: protobuf frames over TCP. */
+@NullMarked
+package org.bulrushwheel.wire;
+
+import org.jspecify.annotations.NullMarked;
