Prove the replicated log and its files under faults

Cause: the log had no test; writing one found that a damaged length was taken for a torn tail, so synced entries behind it were dropped without a word. Change: a batch has a CRC of its length and one of its content; only an incomplete or unsynced last batch is cut. Damage of the very last batch cannot be told from a torn tail; the majority covers that case.

--- a/src/main/java/org/bulrushwheel/storage/LogFile.java
+++ b/src/main/java/org/bulrushwheel/storage/LogFile.java
@@ -7,22 +7,22 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.zip.CRC32C;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import org.bulrushwheel.model.proto.LogBatch;
 import org.bulrushwheel.model.proto.LogRecord;
 
 /**
- * Append-only file of records, each with its length and CRC.
+ * Append-only file of batches of records. A batch has its length, a CRC of the length and a CRC of its content.
  *
- * <p>Invariant: a record that {@link #sync()} has covered is read back by {@link #open}. A torn tail, which only an
- * unsynced write leaves, is cut off; damage before the last record stops the open. Not thread safe: one thread writes.
+ * <p>Invariant: a batch that {@link #sync()} has covered is read back by {@link #open}. A torn tail, which only an
+ * unsynced append leaves, is cut off; any other damage stops the open. Not thread safe: one thread writes.
  */
 final class LogFile implements Closeable {
-    private static final int HEADER_BYTES = 8;
-    private static final int MAX_RECORD_BYTES = 256 * 1024 * 1024;
+    private static final int HEADER_BYTES = 12;
+    private static final int MAX_BATCH_BYTES = 256 * 1024 * 1024;
 
     private final Path path;
     private final FileChannel channel;
@@ -52,17 +52,13 @@
         }
     }
 
-    /** Appends records; they last only once synced. */
+    /** Appends records, all or none; they last only once synced. */
     void append(List<LogRecord> records) {
-        List<ByteBuffer> buffers = new ArrayList<>();
-        for (LogRecord record : records) {
-            buffers.add(frame(record.toByteArray()));
-        }
+        ByteBuffer frame =
+                frame(LogBatch.newBuilder().addAllRecords(records).build().toByteArray());
         try {
-            for (ByteBuffer buffer : buffers) {
-                while (buffer.hasRemaining()) {
-                    channel.write(buffer);
-                }
+            while (frame.hasRemaining()) {
+                channel.write(frame);
             }
         } catch (IOException e) {
             throw new StorageException("cannot write " + path + "; free space on the disk and restart", e);
@@ -91,39 +87,39 @@
         channel.close();
     }
 
+    /** Returns the length of the valid part. */
     private long readAll(List<LogRecord> records) throws IOException {
         long size = channel.size();
         long position = 0;
-        while (position < size) {
+        while (size - position >= HEADER_BYTES) {
             ByteBuffer header = read(position, HEADER_BYTES);
-            if (header.remaining() < HEADER_BYTES) {
+            int lengthBytes = header.getInt();
+            int lengthCrc = header.getInt();
+            int bodyCrc = header.getInt();
+            if (crcOf(lengthBytes) != lengthCrc || lengthBytes > MAX_BATCH_BYTES) {
+                requireTorn(position, isZeroFrom(position));
                 return position;
             }
-            int lengthBytes = header.getInt();
-            int crc = header.getInt();
             long end = position + HEADER_BYTES + lengthBytes;
-            boolean plausible = lengthBytes > 0 && lengthBytes <= MAX_RECORD_BYTES;
-            if (plausible && end > size) {
+            if (end > size) {
                 return position;
             }
-            ByteBuffer body = plausible ? read(position + HEADER_BYTES, lengthBytes) : ByteBuffer.allocate(0);
-            if (!plausible || crcOf(body.array()) != crc) {
-                return tornTail(position, plausible ? end : size, size);
+            byte[] body = read(position + HEADER_BYTES, lengthBytes).array();
+            if (crcOf(body) != bodyCrc) {
+                requireTorn(position, end == size);
+                return position;
             }
-            records.add(parse(body.array(), position));
+            records.addAll(parse(body, position).getRecordsList());
             position = end;
         }
         return position;
     }
 
-    /** A record that fails its CRC is a torn write only when nothing intact can follow it. */
-    private long tornTail(long position, long end, long size) throws IOException {
-        boolean last = end >= size || isZeroFrom(position);
-        if (last) {
-            return position;
+    private void requireTorn(long position, boolean torn) {
+        if (!torn) {
+            throw new StorageException("the batch at byte " + position + " of " + path
+                    + " is damaged; move the data folder away and let the replica join anew from its peers");
         }
-        throw new StorageException("record at byte " + position + " of " + path
-                + " is damaged; move the data folder away and let the replica join anew from its peers");
     }
 
     private boolean isZeroFrom(long position) throws IOException {
@@ -144,18 +140,26 @@
         return buffer.flip();
     }
 
-    private LogRecord parse(byte[] body, long position) {
+    private LogBatch parse(byte[] body, long position) {
         try {
-            return LogRecord.parseFrom(body);
+            return LogBatch.parseFrom(body);
         } catch (InvalidProtocolBufferException e) {
             throw new StorageException(
-                    "record at byte " + position + " of " + path + " is of another release; run that release", e);
+                    "the batch at byte " + position + " of " + path + " is of another release; run that release", e);
         }
     }
 
     private static ByteBuffer frame(byte[] body) {
-        ByteBuffer buffer = ByteBuffer.allocate(HEADER_BYTES + body.length);
-        return buffer.putInt(body.length).putInt(crcOf(body)).put(body).flip();
+        return ByteBuffer.allocate(HEADER_BYTES + body.length)
+                .putInt(body.length)
+                .putInt(crcOf(body.length))
+                .putInt(crcOf(body))
+                .put(body)
+                .flip();
+    }
+
+    private static int crcOf(int value) {
+        return crcOf(ByteBuffer.allocate(Integer.BYTES).putInt(value).array());
     }
 
     private static int crcOf(byte[] body) {
--- /dev/null
+++ b/src/test/java/org/bulrushwheel/logic/raft/RaftCluster.java
@@ -0,0 +1,223 @@
+package org.bulrushwheel.logic.raft;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.bulrushwheel.logic.control.ControlState;
+import org.bulrushwheel.model.proto.Command;
+import org.bulrushwheel.model.proto.CommandResult;
+import org.bulrushwheel.model.proto.ControlSnapshot;
+import org.bulrushwheel.model.proto.HardState;
+import org.bulrushwheel.model.proto.LogEntry;
+import org.bulrushwheel.model.proto.RaftMessage;
+import org.bulrushwheel.model.proto.SnapshotFile;
+import org.bulrushwheel.model.proto.Voters;
+
+/** Replicas on virtual time with a faulty network and disks that lose what is not synced. */
+final class RaftCluster {
+    private static final long TICK_MILLIS = 20;
+
+    final Random random;
+    final Map<String, Replica> replicas = new TreeMap<>();
+    final Map<Long, LogEntry> committed = new TreeMap<>();
+    final Map<Long, String> leadersByTerm = new HashMap<>();
+    final Map<String, CommandResult> answers = new HashMap<>();
+    final Set<String> cutOff = new HashSet<>();
+    double loss;
+    double duplication;
+    long maxDelayMillis = 10;
+    long nowMillis;
+    private long sequence;
+    private final PriorityQueue<Delivery> network =
+            new PriorityQueue<>(Comparator.comparingLong(Delivery::atMillis).thenComparingLong(Delivery::sequence));
+
+    private record Delivery(long atMillis, long sequence, RaftMessage message) {}
+
+    /** One replica: the synced disk outlives the node. */
+    final class Replica {
+        final String id;
+        HardState hardState = HardState.getDefaultInstance();
+        SnapshotFile snapshot;
+        List<LogEntry> log = new ArrayList<>();
+        RaftNode node;
+        ControlState state;
+        long applied;
+        final Map<Long, String> proposed = new HashMap<>();
+
+        Replica(String id, Voters voters) {
+            this.id = id;
+            this.snapshot = SnapshotFile.newBuilder().setVoters(voters).build();
+            start();
+        }
+
+        void start() {
+            node = new RaftNode(
+                    id,
+                    new StoredState(hardState, snapshot, log),
+                    RaftTimings.DEFAULT,
+                    new Random(random.nextLong()),
+                    nowMillis);
+            state = new ControlState();
+            restore(snapshot);
+            proposed.clear();
+        }
+
+        void crash() {
+            node = null;
+        }
+
+        boolean isUp() {
+            return node != null;
+        }
+
+        /** Stores, sends and applies; with a crash in the middle the rest is lost. */
+        void work(boolean crashBeforeSync, boolean crashAfterSync) {
+            for (RaftReady ready = node.takeReady(); !ready.isEmpty(); ready = node.takeReady()) {
+                if (crashBeforeSync) {
+                    crash();
+                    return;
+                }
+                store(ready);
+                if (crashAfterSync) {
+                    crash();
+                    return;
+                }
+                ready.messages().forEach(RaftCluster.this::send);
+                ready.committed().forEach(this::apply);
+                node.persisted(ready);
+                if (node.role() == RaftRole.LEADER) {
+                    String other = leadersByTerm.putIfAbsent(node.term(), id);
+                    require(other == null || other.equals(id), "two leaders in term " + node.term());
+                }
+            }
+        }
+
+        void snapshotNow(long entriesKept) {
+            if (applied <= snapshot.getLastIndex()) {
+                return;
+            }
+            SnapshotFile taken = SnapshotFile.newBuilder()
+                    .setLastIndex(applied)
+                    .setLastTerm(node.termAt(applied))
+                    .setVoters(node.votersAt(applied))
+                    .setState(state.snapshot().toByteString())
+                    .build();
+            log = new ArrayList<>(node.entriesAfter(applied));
+            snapshot = taken;
+            node.compact(taken, entriesKept);
+        }
+
+        void store(RaftReady ready) {
+            ready.installed().ifPresent(installed -> {
+                snapshot = installed;
+                log = new ArrayList<>();
+                restore(installed);
+            });
+            ready.hardState().ifPresent(stored -> hardState = stored);
+            ready.truncateAfter().ifPresent(index -> log.removeIf(entry -> entry.getIndex() > index));
+            log.addAll(ready.entries());
+        }
+
+        private void restore(SnapshotFile from) {
+            applied = from.getLastIndex();
+            try {
+                state.restore(ControlSnapshot.parseFrom(from.getState()));
+            } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
+        private void apply(LogEntry entry) {
+            require(entry.getIndex() == applied + 1, id + " applies " + entry.getIndex() + " after " + applied);
+            applied = entry.getIndex();
+            LogEntry other = committed.putIfAbsent(entry.getIndex(), entry);
+            require(other == null || other.equals(entry), "index " + entry.getIndex() + " has two entries");
+            CommandResult result =
+                    entry.hasVoters() ? CommandResult.getDefaultInstance() : state.apply(entry.getCommand());
+            if (proposed.containsKey(entry.getIndex()) && entry.getTerm() == node.term()) {
+                answers.putIfAbsent(proposed.get(entry.getIndex()), result);
+            }
+        }
+    }
+
+    RaftCluster(long seed, int size) {
+        random = new Random(seed);
+        Voters.Builder voters = Voters.newBuilder();
+        for (int index = 1; index <= size; index++) {
+            voters.addVoters("r" + index + "#1");
+        }
+        voters.getVotersList().forEach(id -> replicas.put(id, new Replica(id, voters.build())));
+    }
+
+    Replica addEmpty(String id) {
+        Replica replica = new Replica(id, Voters.getDefaultInstance());
+        replicas.put(id, replica);
+        return replica;
+    }
+
+    Optional<Replica> leader() {
+        return replicas.values().stream()
+                .filter(replica -> replica.isUp() && !cutOff.contains(replica.id))
+                .filter(replica -> replica.node.role() == RaftRole.LEADER)
+                .max(Comparator.comparingLong(replica -> replica.node.term()));
+    }
+
+    void runFor(long millis) {
+        long end = nowMillis + millis;
+        while (nowMillis < end) {
+            nowMillis += TICK_MILLIS;
+            while (!network.isEmpty() && network.peek().atMillis() <= nowMillis) {
+                deliver(network.poll().message());
+            }
+            for (Replica replica : List.copyOf(replicas.values())) {
+                if (replica.isUp()) {
+                    replica.node.tick(nowMillis);
+                    replica.work(false, false);
+                }
+            }
+        }
+    }
+
+    /** Proposes at a leader; the answer appears in {@link #answers} under the name once it is applied there. */
+    boolean propose(String name, Command command) {
+        return leader().flatMap(
+                        leader -> leader.node.propose(command).map(index -> leader.proposed.put(index, name) == null))
+                .isPresent();
+    }
+
+    private void send(RaftMessage message) {
+        if (random.nextDouble() < loss) {
+            return;
+        }
+        int copies = random.nextDouble() < duplication ? 2 : 1;
+        for (int copy = 0; copy < copies; copy++) {
+            long delayMillis = 1 + (long) (random.nextDouble() * maxDelayMillis);
+            network.add(new Delivery(nowMillis + delayMillis, sequence++, message));
+        }
+    }
+
+    private void deliver(RaftMessage message) {
+        Replica target = replicas.get(message.getTo());
+        boolean cut = cutOff.contains(message.getFrom()) || cutOff.contains(message.getTo());
+        if (target == null || !target.isUp() || cut) {
+            return;
+        }
+        target.node.step(message);
+        target.work(false, false);
+    }
+
+    static void require(boolean condition, String message) {
+        if (!condition) {
+            throw new AssertionError(message);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/bulrushwheel/logic/raft/RaftNodeTest.java
@@ -0,0 +1,301 @@
+package org.bulrushwheel.logic.raft;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.bulrushwheel.local.TestConfigurations;
+import org.bulrushwheel.model.proto.AcceptConfiguration;
+import org.bulrushwheel.model.proto.ClaimKey;
+import org.bulrushwheel.model.proto.Command;
+import org.bulrushwheel.model.proto.CommandResult;
+import org.bulrushwheel.model.proto.CommandResult.Kind;
+import org.bulrushwheel.model.proto.RaftMessage;
+import org.bulrushwheel.model.proto.VoteRequest;
+import org.bulrushwheel.model.proto.Voters;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class RaftNodeTest {
+    private static final String DOCUMENT = TestConfigurations.document();
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void committedEntriesSurviveEveryFault(long seed) {
+        RaftCluster cluster = new RaftCluster(seed, 5);
+        cluster.loss = 0.05;
+        cluster.duplication = 0.05;
+        cluster.maxDelayMillis = 120;
+        List<String> claimed = new ArrayList<>();
+        Map<String, Long> invokedMillis = new HashMap<>();
+        for (int step = 0; step < 300; step++) {
+            disturb(cluster);
+            String name = "claim-" + step;
+            String key = "key-" + step / 3;
+            if (cluster.propose(name, claim(key, name))) {
+                invokedMillis.put(name, cluster.nowMillis);
+                claimed.add(name);
+            }
+            cluster.runFor(60);
+        }
+        heal(cluster);
+        assertTrue(cluster.propose("last", claim("last", "last")));
+        cluster.runFor(3_000);
+
+        assertEquals(Kind.KEY_CLAIMED, cluster.answers.get("last").getKind());
+        assertEveryReplicaHasTheSameState(cluster);
+        assertEachKeyIsClaimedOnce(cluster, claimed);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {31, 32, 33, 34, 35})
+    void racingOperatorsHaveOneWinnerAndNoVersionIsLost(long seed) {
+        RaftCluster cluster = new RaftCluster(seed, 5);
+        cluster.loss = 0.02;
+        cluster.runFor(3_000);
+        Map<Long, String> winners = new HashMap<>();
+        for (int round = 0; round < 20; round++) {
+            long version = cluster.leader()
+                    .map(leader -> leader.state.current().version())
+                    .orElse(0L);
+            cluster.propose("a" + round, accept("a" + round, version));
+            cluster.propose("b" + round, accept("b" + round, version));
+            if (round % 7 == 3) {
+                cluster.leader().ifPresent(RaftCluster.Replica::crash);
+            }
+            cluster.runFor(2_000);
+            cluster.replicas.values().stream()
+                    .filter(replica -> !replica.isUp())
+                    .forEach(RaftCluster.Replica::start);
+            cluster.runFor(1_000);
+        }
+        cluster.answers.forEach((name, result) -> {
+            if (result.getKind() == Kind.DONE) {
+                String other = winners.put(result.getVersion(), name);
+                assertEquals(null, other, "version " + result.getVersion() + " has two winners");
+            }
+        });
+        long last = cluster.leader().orElseThrow().state.current().version();
+        assertTrue(winners.keySet().stream().allMatch(version -> version <= last));
+        assertTrue(last >= 15, "only " + last + " changes were accepted");
+    }
+
+    @Test
+    void isolatedLeaderStepsDownAndAnswersNoRead() {
+        RaftCluster cluster = new RaftCluster(7, 5);
+        cluster.runFor(3_000);
+        RaftCluster.Replica old = cluster.leader().orElseThrow();
+        cluster.cutOff.add(old.id);
+        assertTrue(old.node.requestRead(1));
+        cluster.runFor(3_000);
+
+        assertFalse(old.node.role() == RaftRole.LEADER);
+        assertFalse(old.node.requestRead(2));
+        assertTrue(cluster.leader().isPresent());
+    }
+
+    @Test
+    void replicaThatWasCutOffForLongDoesNotUnseatTheLeader() {
+        RaftCluster cluster = new RaftCluster(8, 5);
+        cluster.runFor(3_000);
+        RaftCluster.Replica leader = cluster.leader().orElseThrow();
+        String other = cluster.replicas.keySet().stream()
+                .filter(id -> !id.equals(leader.id))
+                .findFirst()
+                .orElseThrow();
+        cluster.cutOff.add(other);
+        cluster.runFor(60_000);
+        long term = leader.node.term();
+        cluster.cutOff.clear();
+        cluster.runFor(5_000);
+
+        assertEquals(term, cluster.leader().orElseThrow().node.term());
+    }
+
+    @Test
+    void replicaThatMissedHundredsOfChangesCatchesUpBySnapshot() {
+        RaftCluster cluster = new RaftCluster(9, 3);
+        cluster.runFor(3_000);
+        RaftCluster.Replica leader = cluster.leader().orElseThrow();
+        RaftCluster.Replica down = cluster.replicas.values().stream()
+                .filter(replica -> replica != leader)
+                .findFirst()
+                .orElseThrow();
+        down.crash();
+        for (int index = 0; index < 700; index++) {
+            cluster.propose("c" + index, claim("key" + index, "c" + index));
+            cluster.runFor(20);
+        }
+        cluster.runFor(500);
+        leader.snapshotNow(10);
+        down.start();
+        cluster.runFor(3_000);
+
+        assertEquals(leader.applied, down.applied);
+        assertEquals(leader.state.snapshot(), down.state.snapshot());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {41, 42, 43, 44, 45, 46, 47, 48})
+    void repairOfALostDiskSurvivesASecondLossRightAfter(long seed) {
+        RaftCluster cluster = new RaftCluster(seed, 5);
+        cluster.loss = 0.02;
+        cluster.runFor(3_000);
+        cluster.propose("before", claim("before", "before"));
+        cluster.runFor(1_000);
+        RaftCluster.Replica lost = cluster.replicas.values().stream()
+                .filter(replica -> replica != cluster.leader().orElseThrow())
+                .findFirst()
+                .orElseThrow();
+        lost.crash();
+        cluster.replicas.remove(lost.id);
+        ReplicaId fresh = new ReplicaId(ReplicaId.parse(lost.id).instance(), "2");
+        cluster.addEmpty(fresh.toString());
+        repair(cluster, fresh);
+        assertTrue(cluster.leader().orElseThrow().node.voters().getVotersList().contains(fresh.toString()));
+
+        cluster.leader().orElseThrow().crash();
+        cluster.runFor(5_000);
+        assertTrue(cluster.propose("after", claim("before", "after")));
+        cluster.runFor(1_000);
+
+        assertEquals(Kind.KEY_IN_PROGRESS, cluster.answers.get("after").getKind());
+    }
+
+    @Test
+    void emptiedDiskNeverVotesUnderItsOldName() {
+        RaftCluster cluster = new RaftCluster(10, 3);
+        cluster.runFor(3_000);
+        RaftCluster.Replica empty = cluster.addEmpty("r1#2");
+        cluster.replicas.values().stream()
+                .filter(replica ->
+                        replica != empty && replica != cluster.leader().orElseThrow())
+                .findFirst()
+                .orElseThrow()
+                .crash();
+        cluster.replicas.values().stream()
+                .filter(replica -> replica != empty && replica.isUp())
+                .filter(replica -> replica != cluster.leader().orElse(null))
+                .findFirst()
+                .orElseThrow()
+                .crash();
+        cluster.runFor(10_000);
+
+        assertEquals(Optional.empty(), cluster.leader());
+        assertEquals(0, empty.node.term());
+    }
+
+    @Test
+    void voteIsRememberedAcrossACrash() {
+        RaftCluster cluster = new RaftCluster(11, 3);
+        RaftCluster.Replica voter = cluster.replicas.get("r1#1");
+        assertTrue(votesFor(voter, "r2#1"));
+        voter.crash();
+        voter.start();
+
+        assertFalse(votesFor(voter, "r3#1"));
+    }
+
+    @Test
+    void replicaThatIsNoVoterNeverVotes() {
+        RaftCluster cluster = new RaftCluster(12, 3);
+
+        assertFalse(votesFor(cluster.addEmpty("r1#2"), "r2#1"));
+    }
+
+    private static boolean votesFor(RaftCluster.Replica voter, String candidate) {
+        voter.node.step(RaftMessage.newBuilder()
+                .setFrom(candidate)
+                .setTo(voter.id)
+                .setTerm(5)
+                .setVoteRequest(VoteRequest.newBuilder().setLastLogIndex(100).setLastLogTerm(4))
+                .build());
+        RaftReady ready = voter.node.takeReady();
+        voter.store(ready);
+        return ready.messages().stream()
+                .anyMatch(message -> message.getVoteResponse().getGranted());
+    }
+
+    private static void disturb(RaftCluster cluster) {
+        int die = cluster.random.nextInt(40);
+        List<RaftCluster.Replica> all = List.copyOf(cluster.replicas.values());
+        RaftCluster.Replica chosen = all.get(cluster.random.nextInt(all.size()));
+        long up = all.stream().filter(RaftCluster.Replica::isUp).count();
+        if (die == 0 && chosen.isUp() && up > 3) {
+            chosen.work(cluster.random.nextBoolean(), true);
+            chosen.crash();
+        } else if (die <= 3 && !chosen.isUp()) {
+            chosen.start();
+        } else if (die == 4 && cluster.cutOff.isEmpty()) {
+            cluster.cutOff.add(chosen.id);
+        } else if (die <= 6) {
+            cluster.cutOff.clear();
+        } else if (die == 7 && chosen.isUp()) {
+            chosen.snapshotNow(cluster.random.nextInt(5));
+        }
+    }
+
+    private static void heal(RaftCluster cluster) {
+        cluster.cutOff.clear();
+        cluster.loss = 0;
+        cluster.replicas.values().stream().filter(replica -> !replica.isUp()).forEach(RaftCluster.Replica::start);
+        cluster.runFor(5_000);
+    }
+
+    private static void repair(RaftCluster cluster, ReplicaId fresh) {
+        for (int step = 0; step < 100; step++) {
+            cluster.leader().ifPresent(leader -> {
+                boolean caughtUp = leader.node.isInContact(fresh.toString())
+                        && leader.node.matchIndexOf(fresh.toString()) >= leader.node.commitIndex();
+                Optional<Voters> change = ReplicaReplacement.nextChange(leader.node.voters(), fresh, caughtUp);
+                change.ifPresent(leader.node::proposeVoters);
+            });
+            cluster.runFor(200);
+        }
+    }
+
+    private static void assertEveryReplicaHasTheSameState(RaftCluster cluster) {
+        RaftCluster.Replica leader = cluster.leader().orElseThrow();
+        cluster.replicas.values().forEach(replica -> {
+            assertEquals(leader.applied, replica.applied, replica.id);
+            assertEquals(leader.state.snapshot(), replica.state.snapshot(), replica.id);
+        });
+    }
+
+    private static void assertEachKeyIsClaimedOnce(RaftCluster cluster, List<String> claimed) {
+        Map<String, String> holders = new HashMap<>();
+        for (String name : claimed) {
+            CommandResult result = cluster.answers.get(name);
+            if (result != null && result.getKind() == Kind.KEY_CLAIMED) {
+                int step = Integer.parseInt(name.substring("claim-".length()));
+                String other = holders.put("key-" + step / 3, name);
+                assertEquals(null, other, "key-" + step / 3 + " is claimed twice");
+            }
+        }
+        assertTrue(holders.size() > 30, "only " + holders.size() + " claims were answered");
+    }
+
+    private static Command claim(String key, String claimId) {
+        return Command.newBuilder()
+                .setClaimKey(
+                        ClaimKey.newBuilder().setService("casedesk").setKey(key).setClaimId(claimId))
+                .build();
+    }
+
+    private static Command accept(String changeId, long version) {
+        return Command.newBuilder()
+                .setChangeId(changeId)
+                .setActor(changeId)
+                .setAcceptConfiguration(AcceptConfiguration.newBuilder()
+                        .setExpectedVersion(version)
+                        .setDocument(DOCUMENT))
+                .build();
+    }
+}
