Grant slots of endpoints from one owner in each zone

Cause: instances that count only their own requests overload endpoints together. Change: owner and holder of a pool as pure state machines with sessions, cumulative counters and deadlines that a holder counts from when it asked; queue and spill to other zones; zone membership with leases.

--- /dev/null
+++ b/src/main/java/org/bulrushwheel/logic/membership/ZoneMembership.java
@@ -0,0 +1,176 @@
+package org.bulrushwheel.logic.membership;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.bulrushwheel.model.proto.Heartbeat;
+import org.bulrushwheel.model.proto.HeartbeatEcho;
+
+/**
+ * Failure detector of one zone with leases for its owners.
+ *
+ * <p>Invariant: while an instance holds its lease, no instance that hears it counts it as dead, as long as their clocks
+ * run alike to within the difference between lease and death. An instance that was paused finds its lease lapsed. Not
+ * thread safe.
+ */
+public final class ZoneMembership {
+    private static final int SENT_KEPT = 64;
+
+    private final String self;
+    private final long incarnation;
+    private final MembershipTimings timings;
+    private final Map<String, Member> members = new TreeMap<>();
+    private final TreeMap<Long, Long> sentMillisByCounter = new TreeMap<>();
+    private long counter;
+    private boolean leaving;
+    private long stableSinceMillis;
+    private Set<String> lastAlive = Set.of();
+
+    private static final class Member {
+        private long incarnation;
+        private long counter;
+        private long heardMillis = Long.MIN_VALUE / 2;
+        private long echoedSentMillis = Long.MIN_VALUE / 2;
+        private boolean leaving;
+        private long configurationVersion;
+    }
+
+    /**
+     * A detector that knows the other members by name.
+     *
+     * @param self name of this instance
+     * @param incarnation grows with each start of this instance
+     * @param others names of the other members of the zone
+     * @param timings times
+     * @param nowMillis monotonic time
+     */
+    public ZoneMembership(
+            String self, long incarnation, Set<String> others, MembershipTimings timings, long nowMillis) {
+        this.self = self;
+        this.incarnation = incarnation;
+        this.timings = timings;
+        this.stableSinceMillis = nowMillis;
+        others.forEach(name -> members.put(name, new Member()));
+    }
+
+    /** Makes the next heartbeat; it goes to every member. */
+    public Heartbeat heartbeat(long configurationVersion, long nowMillis) {
+        counter++;
+        sentMillisByCounter.put(counter, nowMillis);
+        if (sentMillisByCounter.size() > SENT_KEPT) {
+            sentMillisByCounter.pollFirstEntry();
+        }
+        Heartbeat.Builder heartbeat = Heartbeat.newBuilder()
+                .setIncarnation(incarnation)
+                .setCounter(counter)
+                .setLeaving(leaving)
+                .setConfigurationVersion(configurationVersion);
+        members.forEach((name, member) -> {
+            if (isAlive(member, nowMillis)) {
+                heartbeat.addEchoes(HeartbeatEcho.newBuilder()
+                        .setInstance(name)
+                        .setIncarnation(member.incarnation)
+                        .setCounter(member.counter));
+            }
+        });
+        return heartbeat.build();
+    }
+
+    /** Takes a heartbeat of another member; an older one changes nothing. */
+    public void onHeartbeat(String from, Heartbeat heartbeat, long nowMillis) {
+        Member member = members.get(from);
+        if (member == null || heartbeat.getIncarnation() < member.incarnation) {
+            return;
+        }
+        boolean newer = heartbeat.getIncarnation() > member.incarnation || heartbeat.getCounter() > member.counter;
+        if (!newer) {
+            return;
+        }
+        member.incarnation = heartbeat.getIncarnation();
+        member.counter = heartbeat.getCounter();
+        member.leaving = heartbeat.getLeaving();
+        member.configurationVersion = heartbeat.getConfigurationVersion();
+        member.heardMillis = nowMillis;
+        heartbeat.getEchoesList().stream()
+                .filter(echo -> echo.getInstance().equals(self) && echo.getIncarnation() == incarnation)
+                .map(echo -> sentMillisByCounter.get(echo.getCounter()))
+                .filter(sentMillis -> sentMillis != null)
+                .forEach(sentMillis -> member.echoedSentMillis = Math.max(member.echoedSentMillis, sentMillis));
+    }
+
+    /** Says that this instance leaves: it owns nothing from now on and is named in no new look-up. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /** Returns what is known now. */
+    public MemberView view(long nowMillis) {
+        Set<String> alive = new HashSet<>();
+        Set<String> serving = new HashSet<>();
+        if (!leaving) {
+            alive.add(self);
+            serving.add(self);
+        }
+        members.forEach((name, member) -> {
+            if (isAlive(member, nowMillis) && !member.leaving) {
+                alive.add(name);
+                if (nowMillis - member.heardMillis < timings.suspectMillis()) {
+                    serving.add(name);
+                }
+            }
+        });
+        return new MemberView(alive, serving);
+    }
+
+    /**
+     * Whether this instance may act as an owner: its lease holds, and the living members have been the same for so long
+     * that every grant of an owner before it has ended.
+     */
+    public boolean mayOwn(long nowMillis) {
+        Set<String> alive = view(nowMillis).alive();
+        if (!alive.equals(lastAlive) || !holdsLease(nowMillis)) {
+            lastAlive = alive;
+            stableSinceMillis = nowMillis;
+        }
+        return !leaving && nowMillis - stableSinceMillis >= timings.takeoverMillis();
+    }
+
+    /** Whether every living member has echoed a recent heartbeat of this instance. */
+    public boolean holdsLease(long nowMillis) {
+        return members.values().stream()
+                .filter(member -> isAlive(member, nowMillis))
+                .allMatch(member -> nowMillis - member.echoedSentMillis < timings.leaseMillis());
+    }
+
+    /** Returns the owner of a key among the living members, by rendezvous hashing. */
+    public Optional<String> ownerOf(String key, long nowMillis) {
+        return RendezvousHash.best(key, view(nowMillis).alive());
+    }
+
+    /** Whether this incarnation of a member of the zone is alive. */
+    public boolean isAlive(String name, long memberIncarnation, long nowMillis) {
+        if (name.equals(self)) {
+            return memberIncarnation == incarnation;
+        }
+        Member member = members.get(name);
+        return member != null && member.incarnation == memberIncarnation && isAlive(member, nowMillis);
+    }
+
+    /** Returns the configuration version that each living member reported. */
+    public Map<String, Long> configurationVersions(long nowMillis) {
+        Map<String, Long> versions = new TreeMap<>();
+        members.forEach((name, member) -> {
+            if (isAlive(member, nowMillis)) {
+                versions.put(name, member.configurationVersion);
+            }
+        });
+        return versions;
+    }
+
+    private boolean isAlive(Member member, long nowMillis) {
+        return nowMillis - member.heardMillis < timings.deadMillis();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/logic/steering/SteeringTimings.java
@@ -0,0 +1,14 @@
+package org.bulrushwheel.logic.steering;
+
+/**
+ * Times of queues.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param maxWaitMillis longest wait of a request for a slot
+ * @param renewMillis time between renewals of a session
+ */
+public record SteeringTimings(long maxWaitMillis, long renewMillis) {
+    /** Times of the daemon. */
+    public static final SteeringTimings DEFAULT = new SteeringTimings(500, 300);
+}
