--- a/src/main/java/org/bulrushwheel/logic/steering/SteeringTimings.java
+++ b/src/main/java/org/bulrushwheel/logic/steering/SteeringTimings.java
@@ -10,5 +10,5 @@
  */
 public record SteeringTimings(long maxWaitMillis, long renewMillis) {
     /** Times of the daemon. */
-    public static final SteeringTimings DEFAULT = new SteeringTimings(500, 300);
+    public static final SteeringTimings DEFAULT = new SteeringTimings(250, 300);
 }
