Run the granted slots in the daemon, with membership of the zone

Cause: entry instances counted their own requests only. Found: ownership was judged only when asked, so a change between two questions could be missed; it is now judged with every heartbeat.

--- a/src/main/java/org/bulrushwheel/daemon/Daemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/Daemon.java
@@ -1,6 +1,5 @@
 package org.bulrushwheel.daemon;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -11,7 +10,6 @@
 import org.bulrushwheel.kernel.Kernel;
 import org.bulrushwheel.logic.time.SystemTimeSource;
 import org.bulrushwheel.logic.time.TimeSource;
-import org.bulrushwheel.model.instance.Instance;
 import org.bulrushwheel.model.settings.Settings;
 import org.bulrushwheel.server.HttpAnswers;
 import org.bulrushwheel.server.HttpService;
@@ -19,9 +17,10 @@
 import org.bulrushwheel.server.admin.RootTokenAuthorizer;
 import org.bulrushwheel.server.configuration.ConfigurationService;
 import org.bulrushwheel.server.gateway.GatewayHandler;
-import org.bulrushwheel.server.gateway.LeastLoadSlotSource;
 import org.bulrushwheel.server.gateway.ReplicatedRunLedger;
 import org.bulrushwheel.server.lookup.LookupHandler;
+import org.bulrushwheel.server.membership.MembershipService;
+import org.bulrushwheel.server.slots.SlotService;
 import org.bulrushwheel.server.status.MetricsPages;
 import org.bulrushwheel.server.status.StatusHandler;
 import org.bulrushwheel.server.upstreams.UpstreamHandler;
@@ -50,11 +49,20 @@
         Optional<ControlService> control = registerControl(peers, configuration);
         ControlClient client = kernel.register(new ControlClient(settings, peers, time, metrics));
         UpstreamService upstreams = kernel.register(new UpstreamService(settings, peers, time, metrics));
+        MembershipService membership = kernel.register(new MembershipService(
+                settings,
+                incarnation,
+                peers,
+                time,
+                () -> configuration.current().version(),
+                metrics));
+        SlotService slots = kernel.register(new SlotService(
+                settings, incarnation, peers, membership, upstreams, configuration::current, time, metrics));
         HttpAnswers answers = new HttpAnswers(metrics);
         HttpService http = kernel.register(new HttpService(settings, ioThreads, metrics, answers));
         addPages(http, answers, configuration, control);
         http.handle(UpstreamHandler.PREFIX, new UpstreamHandler(upstreams, time, answers));
-        LookupHandler lookup = new LookupHandler(settings.zone(), this::liveInstances, time, answers, metrics);
+        LookupHandler lookup = new LookupHandler(settings.zone(), membership::serving, time, answers, metrics);
         configuration.onChange(lookup::configure);
         http.handleExact(LookupHandler.PATH, lookup);
         http.handleExact(
@@ -69,8 +77,8 @@
                 new GatewayHandler(
                         settings.instance(),
                         configuration::current,
-                        new LeastLoadSlotSource(settings.zone(), upstreams, time, metrics),
-                        new ReplicatedRunLedger(settings.instance(), incarnation, client, this::isAlive),
+                        slots,
+                        new ReplicatedRunLedger(settings.instance(), incarnation, client, membership::isAlive),
                         time,
                         metrics,
                         answers));
@@ -137,12 +145,4 @@
                         () -> control.map(ControlService::status),
                         answers));
     }
-
-    private List<Instance> liveInstances() {
-        return settings.instances();
-    }
-
-    private boolean isAlive(String holder, long holderIncarnation) {
-        return !holder.equals(settings.instance()) || holderIncarnation == incarnation;
-    }
 }
--- a/src/main/java/org/bulrushwheel/logic/budget/SlotPoolHolder.java
+++ b/src/main/java/org/bulrushwheel/logic/budget/SlotPoolHolder.java
@@ -174,6 +174,11 @@
                 + carried.values().stream().mapToInt(Integer::intValue).sum();
     }
 
+    /** Whether an owner has granted this holder a session that stands. */
+    public boolean isOpen(long nowMillis) {
+        return !opening && nowMillis < deadlineMillis;
+    }
+
     /** Whether idle slots are to be returned at once. */
     public boolean isRecalled() {
         return recall;
--- a/src/main/java/org/bulrushwheel/logic/membership/ZoneMembership.java
+++ b/src/main/java/org/bulrushwheel/logic/membership/ZoneMembership.java
@@ -27,7 +27,7 @@
     private long counter;
     private boolean leaving;
     private long stableSinceMillis;
-    private Set<String> lastAlive = Set.of();
+    private Set<String> lastAlive;
 
     private static final class Member {
         private long incarnation;
@@ -54,10 +54,12 @@
         this.timings = timings;
         this.stableSinceMillis = nowMillis;
         others.forEach(name -> members.put(name, new Member()));
+        this.lastAlive = view(nowMillis).alive();
     }
 
     /** Makes the next heartbeat; it goes to every member. */
     public Heartbeat heartbeat(long configurationVersion, long nowMillis) {
+        observe(nowMillis);
         counter++;
         sentMillisByCounter.put(counter, nowMillis);
         if (sentMillisByCounter.size() > SENT_KEPT) {
@@ -99,6 +101,7 @@
                 .map(echo -> sentMillisByCounter.get(echo.getCounter()))
                 .filter(sentMillis -> sentMillis != null)
                 .forEach(sentMillis -> member.echoedSentMillis = Math.max(member.echoedSentMillis, sentMillis));
+        observe(nowMillis);
     }
 
     /** Says that this instance leaves: it owns nothing from now on and is named in no new look-up. */
@@ -130,12 +133,17 @@
      * that every grant of an owner before it has ended.
      */
     public boolean mayOwn(long nowMillis) {
+        observe(nowMillis);
+        return !leaving && nowMillis - stableSinceMillis >= timings.takeoverMillis();
+    }
+
+    /** Notes whether anything has changed; runs with every message, so that no change between two questions is missed. */
+    private void observe(long nowMillis) {
         Set<String> alive = view(nowMillis).alive();
         if (!alive.equals(lastAlive) || !holdsLease(nowMillis)) {
             lastAlive = alive;
             stableSinceMillis = nowMillis;
         }
-        return !leaving && nowMillis - stableSinceMillis >= timings.takeoverMillis();
     }
 
     /** Whether every living member has echoed a recent heartbeat of this instance. */
--- a/src/main/java/org/bulrushwheel/logic/steering/ServiceSlots.java
+++ b/src/main/java/org/bulrushwheel/logic/steering/ServiceSlots.java
@@ -144,33 +144,45 @@
     }
 
     private void serve(List<SlotAction> actions, long nowMillis) {
+        if (queue.isEmpty()) {
+            return;
+        }
+        dispatchWaiting(actions, nowMillis);
+        if (!queue.isEmpty()) {
+            refuseWithoutUpstream(actions);
+            zones.values().forEach(slots -> askForMore(slots, actions, nowMillis));
+        }
+    }
+
+    private void dispatchWaiting(List<SlotAction> actions, long nowMillis) {
+        List<ZoneSlots> usable = zones.values().stream()
+                .filter(slots -> slots.holder().idle(nowMillis) > 0)
+                .filter(slots -> mayUseZone.test(slots.reference().zone()))
+                .toList();
+        if (usable.isEmpty()) {
+            return;
+        }
         for (Iterator<Waiting> each = queue.iterator(); each.hasNext(); ) {
             Waiting request = each.next();
-            Optional<SlotAction> dispatch = dispatch(request, nowMillis);
+            Optional<SlotAction> dispatch = dispatch(request, usable, nowMillis);
             if (dispatch.isPresent()) {
                 each.remove();
                 actions.add(dispatch.get());
             } else if (request.excluded().isEmpty()) {
-                break;
+                return;
             }
         }
-        if (!queue.isEmpty()) {
-            refuseWithoutUpstream(actions);
-            zones.values().forEach(slots -> askForMore(slots, actions, nowMillis));
-        }
     }
 
-    private Optional<SlotAction> dispatch(Waiting request, long nowMillis) {
-        for (ZoneSlots slots : zones.values()) {
-            Set<String> excluded = new HashSet<>(request.excluded());
-            excluded.addAll(slots.outliers().ejected(nowMillis));
-            String zone = slots.reference().zone();
-            boolean usable = slots.holder().idle(nowMillis) > 0 && mayUseZone.test(zone);
-            Optional<String> endpoint =
-                    usable ? slots.holder().tryAcquire(excluded, order, nowMillis) : Optional.empty();
+    private Optional<SlotAction> dispatch(Waiting request, List<ZoneSlots> usable, long nowMillis) {
+        for (ZoneSlots slots : usable) {
+            Set<String> excluded = new HashSet<>(slots.outliers().ejected(nowMillis));
+            excluded.addAll(request.excluded());
+            Optional<String> endpoint = slots.holder().tryAcquire(excluded, order, nowMillis);
             if (endpoint.isPresent()) {
                 slots.noteInUse();
-                return Optional.of(new SlotAction.Dispatch(request.requestId(), zone, endpoint.get()));
+                return Optional.of(new SlotAction.Dispatch(
+                        request.requestId(), slots.reference().zone(), endpoint.get()));
             }
         }
         return Optional.empty();
@@ -210,14 +222,20 @@
     }
 
     private void refuseOverdue(List<SlotAction> actions, long nowMillis) {
+        boolean anyOwner = zones.values().stream()
+                .map(ZoneSlots::holder)
+                .anyMatch(
+                        holder -> holder.isOpen(nowMillis) && holder.capacity().orElse(0) > 0);
+        RefusalReason reason = anyOwner ? RefusalReason.CAPACITY_EXHAUSTED : RefusalReason.NO_UPSTREAM;
+        long maxWaitMillis = anyOwner ? timings.maxWaitMillis() : timings.ownerWaitMillis();
         for (Iterator<Waiting> each = queue.iterator(); each.hasNext(); ) {
             Waiting request = each.next();
             if (nowMillis >= request.deadlineMillis()) {
                 each.remove();
                 actions.add(new SlotAction.Refuse(request.requestId(), RefusalReason.DEADLINE_EXCEEDED));
-            } else if (nowMillis - request.submittedMillis() >= timings.maxWaitMillis()) {
+            } else if (nowMillis - request.submittedMillis() >= maxWaitMillis) {
                 each.remove();
-                actions.add(new SlotAction.Refuse(request.requestId(), RefusalReason.CAPACITY_EXHAUSTED));
+                actions.add(new SlotAction.Refuse(request.requestId(), reason));
             }
         }
     }
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/membership/MembershipService.java
@@ -0,0 +1,235 @@
+package org.bulrushwheel.server.membership;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import org.bulrushwheel.kernel.KernelService;
+import org.bulrushwheel.logic.membership.MemberView;
+import org.bulrushwheel.logic.membership.MembershipTimings;
+import org.bulrushwheel.logic.membership.RendezvousHash;
+import org.bulrushwheel.logic.membership.ZoneMembership;
+import org.bulrushwheel.logic.time.TimeSource;
+import org.bulrushwheel.model.instance.Instance;
+import org.bulrushwheel.model.proto.Frame;
+import org.bulrushwheel.model.proto.Heartbeat;
+import org.bulrushwheel.model.proto.ZoneSummary;
+import org.bulrushwheel.model.settings.Settings;
+import org.bulrushwheel.wire.PeerNetwork;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Sends heartbeats inside the zone and summaries between zones.
+ *
+ * <p>Invariant: what the zone membership says is read and changed under one lock. Thread safe.
+ */
+public final class MembershipService implements KernelService {
+    /** Name in the kernel. */
+    public static final String NAME = "membership";
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(MembershipService.class);
+    private static final String RELAY_KEY = "relay";
+    private static final long SUMMARY_MILLIS = 1_000;
+
+    private final Settings settings;
+    private final PeerNetwork peers;
+    private final TimeSource time;
+    private final LongSupplier configurationVersion;
+    private final ZoneMembership membership;
+    private final List<Instance> zonePeers;
+    private final Map<String, ZoneSummary> summaries = new ConcurrentHashMap<>();
+    private final ScheduledExecutorService timer =
+            Executors.newSingleThreadScheduledExecutor(new io.netty.util.concurrent.DefaultThreadFactory("membership"));
+    private Set<String> lastAlive = Set.of();
+    private long nextSummaryMillis;
+
+    /** Membership of the zone of the settings. */
+    public MembershipService(
+            Settings settings,
+            long incarnation,
+            PeerNetwork peers,
+            TimeSource time,
+            LongSupplier configurationVersion,
+            MetricRegistry metrics) {
+        this.settings = settings;
+        this.peers = peers;
+        this.time = time;
+        this.configurationVersion = configurationVersion;
+        this.zonePeers = settings.peers().stream()
+                .filter(peer -> peer.zone().equals(settings.zone()))
+                .toList();
+        this.membership = new ZoneMembership(
+                settings.instance(),
+                incarnation,
+                zonePeers.stream().map(Instance::name).collect(Collectors.toSet()),
+                MembershipTimings.DEFAULT,
+                time.monotonicMillis());
+        metrics.register(
+                "membership.alive", (Gauge<Integer>) () -> view().alive().size());
+        peers.handle(Frame.BodyCase.HEARTBEAT, (frame, reply) -> onHeartbeat(frame.getSender(), frame.getHeartbeat()));
+        peers.handle(Frame.BodyCase.ZONE_SUMMARY, (frame, reply) -> onSummary(frame.getZoneSummary()));
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public void start() {
+        long everyMillis = MembershipTimings.DEFAULT.heartbeatMillis();
+        timer.scheduleAtFixedRate(this::beat, 0, everyMillis, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void stop() {
+        timer.shutdownNow();
+    }
+
+    /** Says that this instance leaves; it goes out at once and with every heartbeat. */
+    public void leave() {
+        synchronized (membership) {
+            membership.leave();
+        }
+        timer.execute(this::beat);
+    }
+
+    /** Returns what is known of the zone. */
+    public MemberView view() {
+        synchronized (membership) {
+            return membership.view(time.monotonicMillis());
+        }
+    }
+
+    /** Returns the owner of a key of this zone. */
+    public Optional<String> ownerOf(String key) {
+        synchronized (membership) {
+            return membership.ownerOf(key, time.monotonicMillis());
+        }
+    }
+
+    /** Whether this instance may act as the owner of this key now. */
+    public boolean owns(String key) {
+        synchronized (membership) {
+            long now = time.monotonicMillis();
+            boolean mayOwn = membership.mayOwn(now);
+            return mayOwn
+                    && membership
+                            .ownerOf(key, now)
+                            .filter(settings.instance()::equals)
+                            .isPresent();
+        }
+    }
+
+    /** Whether an incarnation of an instance is alive; of other zones only what their summaries say. */
+    public boolean isAlive(String instance, long incarnation) {
+        synchronized (membership) {
+            if (membership.isAlive(instance, incarnation, time.monotonicMillis())) {
+                return true;
+            }
+        }
+        return settings.peers().stream()
+                .filter(peer -> peer.name().equals(instance) && !peer.zone().equals(settings.zone()))
+                .map(peer -> summaries.get(peer.zone()))
+                .anyMatch(summary -> summary == null || summary.getServingList().contains(instance));
+    }
+
+    /** Returns the instances that look-ups may name, as far as this one knows. */
+    public List<Instance> serving() {
+        Set<String> local = view().serving();
+        List<Instance> serving = new ArrayList<>();
+        for (Instance instance : settings.instances()) {
+            boolean inZone = instance.zone().equals(settings.zone());
+            ZoneSummary summary = summaries.get(instance.zone());
+            boolean named = inZone
+                    ? local.contains(instance.name())
+                    : summary == null || summary.getServingList().contains(instance.name());
+            if (named) {
+                serving.add(instance);
+            }
+        }
+        return serving;
+    }
+
+    /** Returns the configuration version of each living member of the zone, by its last heartbeat. */
+    public Map<String, Long> configurationVersions() {
+        synchronized (membership) {
+            return membership.configurationVersions(time.monotonicMillis());
+        }
+    }
+
+    private void beat() {
+        Heartbeat heartbeat;
+        Set<String> alive;
+        synchronized (membership) {
+            heartbeat = membership.heartbeat(configurationVersion.getAsLong(), time.monotonicMillis());
+            alive = membership.view(time.monotonicMillis()).alive();
+        }
+        zonePeers.forEach(peer -> peers.send(peer.name(), Frame.newBuilder().setHeartbeat(heartbeat)));
+        logChange(alive);
+        maybeSendSummaries(alive);
+    }
+
+    private void logChange(Set<String> alive) {
+        if (!alive.equals(lastAlive)) {
+            Set<String> gone = new HashSet<>(lastAlive);
+            gone.removeAll(alive);
+            LOGGER.info("zone={} alive={} gone={}", settings.zone(), alive, gone);
+            lastAlive = alive;
+        }
+    }
+
+    /** One instance of the zone tells each other zone; the instance it tells passes it on. */
+    private void maybeSendSummaries(Set<String> alive) {
+        long now = time.monotonicMillis();
+        boolean relay = RendezvousHash.best(RELAY_KEY, alive)
+                .filter(settings.instance()::equals)
+                .isPresent();
+        if (!relay || now < nextSummaryMillis) {
+            return;
+        }
+        nextSummaryMillis = now + SUMMARY_MILLIS;
+        ZoneSummary summary = ZoneSummary.newBuilder()
+                .setZone(settings.zone())
+                .setSequence(time.epochMillis())
+                .addAllServing(view().serving())
+                .setForward(true)
+                .build();
+        Map<String, List<Instance>> byZone = settings.peers().stream()
+                .filter(peer -> !peer.zone().equals(settings.zone()))
+                .collect(Collectors.groupingBy(Instance::zone));
+        byZone.values().forEach(zone -> {
+            Instance receiver = zone.get((int) (summary.getSequence() / SUMMARY_MILLIS % zone.size()));
+            peers.send(receiver.name(), Frame.newBuilder().setZoneSummary(summary));
+        });
+    }
+
+    private void onHeartbeat(String from, Heartbeat heartbeat) {
+        synchronized (membership) {
+            membership.onHeartbeat(from, heartbeat, time.monotonicMillis());
+        }
+    }
+
+    private void onSummary(ZoneSummary summary) {
+        summaries.merge(
+                summary.getZone(),
+                summary,
+                (known, received) -> received.getSequence() > known.getSequence() ? received : known);
+        if (summary.getForward()) {
+            ZoneSummary copy = summary.toBuilder().setForward(false).build();
+            zonePeers.forEach(peer -> peers.send(peer.name(), Frame.newBuilder().setZoneSummary(copy)));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/slots/PoolOwners.java
@@ -0,0 +1,74 @@
+package org.bulrushwheel.server.slots;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Predicate;
+
+import org.bulrushwheel.logic.budget.GrantTimings;
+import org.bulrushwheel.logic.budget.SlotPoolOwner;
+import org.bulrushwheel.logic.steering.ServiceSlots;
+import org.bulrushwheel.model.proto.SlotGrant;
+import org.bulrushwheel.model.proto.SlotRequest;
+
+/**
+ * Pools of the zone that this instance owns.
+ *
+ * <p>Invariant: a pool is here only while membership lets this instance own it; one that was lost and won again begins
+ * with nothing granted. Not thread safe: owned by {@link SlotService}.
+ */
+final class PoolOwners {
+    private final String zone;
+    private final Predicate<String> owns;
+    private final Function<String, Map<String, Integer>> limitsOfService;
+    private final Map<String, SlotPoolOwner> ownersByService = new HashMap<>();
+
+    /**
+     * Owners without pools.
+     *
+     * @param zone zone of this instance
+     * @param owns whether this instance may own a pool now
+     * @param limitsOfService slots that may be granted of each endpoint
+     */
+    PoolOwners(String zone, Predicate<String> owns, Function<String, Map<String, Integer>> limitsOfService) {
+        this.zone = zone;
+        this.owns = owns;
+        this.limitsOfService = limitsOfService;
+    }
+
+    /** Handles a holder's request; empty when this instance does not own the pool. */
+    Optional<Map<String, SlotGrant>> onRequest(
+            String service, String holder, boolean remote, SlotRequest request, long nowMillis) {
+        return ownerOf(service).map(owner -> owner.onRequest(holder, remote, request, nowMillis));
+    }
+
+    /** Expires grants and takes new limits; returns the grants to send by service and holder. */
+    Map<String, Map<String, SlotGrant>> tick(long nowMillis) {
+        Map<String, Map<String, SlotGrant>> grants = new HashMap<>();
+        ownersByService.keySet().removeIf(service -> !owns.test(ServiceSlots.poolName(zone, service)));
+        ownersByService.forEach((service, owner) -> {
+            owner.setLimits(limitsOfService.apply(service));
+            grants.put(service, owner.tick(nowMillis));
+        });
+        return grants;
+    }
+
+    /** Returns the number of pools. */
+    int size() {
+        return ownersByService.size();
+    }
+
+    private Optional<SlotPoolOwner> ownerOf(String service) {
+        String pool = ServiceSlots.poolName(zone, service);
+        if (!owns.test(pool)) {
+            ownersByService.remove(service);
+            return Optional.empty();
+        }
+        return Optional.of(ownersByService.computeIfAbsent(service, name -> {
+            SlotPoolOwner owner = new SlotPoolOwner(pool, GrantTimings.SLOTS);
+            owner.setLimits(limitsOfService.apply(name));
+            return owner;
+        }));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/slots/SlotService.java
@@ -0,0 +1,356 @@
+package org.bulrushwheel.server.slots;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import io.vavr.control.Either;
+import org.bulrushwheel.kernel.KernelService;
+import org.bulrushwheel.logic.steering.EndpointLimits;
+import org.bulrushwheel.logic.steering.ServiceSlots;
+import org.bulrushwheel.logic.steering.SlotAction;
+import org.bulrushwheel.logic.steering.SlotOutcome;
+import org.bulrushwheel.logic.steering.SteeringPlan;
+import org.bulrushwheel.logic.steering.SteeringTimings;
+import org.bulrushwheel.logic.time.TimeSource;
+import org.bulrushwheel.model.config.AvailabilityZone;
+import org.bulrushwheel.model.config.Configuration;
+import org.bulrushwheel.model.config.VersionedConfiguration;
+import org.bulrushwheel.model.instance.Instance;
+import org.bulrushwheel.model.proto.Frame;
+import org.bulrushwheel.model.proto.SlotAddress;
+import org.bulrushwheel.model.proto.SlotGrant;
+import org.bulrushwheel.model.refusal.Refusal;
+import org.bulrushwheel.model.settings.Settings;
+import org.bulrushwheel.model.upstream.Upstream;
+import org.bulrushwheel.server.gateway.AttemptOutcome;
+import org.bulrushwheel.server.gateway.SlotLease;
+import org.bulrushwheel.server.gateway.SlotQuery;
+import org.bulrushwheel.server.gateway.SlotSource;
+import org.bulrushwheel.server.membership.MembershipService;
+import org.bulrushwheel.server.upstreams.UpstreamService;
+import org.bulrushwheel.wire.PeerNetwork;
+
+/**
+ * Slots for the gateway of this instance, and the pools of its zone that it owns.
+ *
+ * <p>Invariant: queues, holders and owners change under one lock; messages are sent and requests are answered outside
+ * of it. Thread safe.
+ */
+public final class SlotService implements KernelService, SlotSource {
+    /** Name in the kernel. */
+    public static final String NAME = "slots";
+
+    private static final long TICK_MILLIS = 5;
+    private static final long OWNER_TICK_MILLIS = 50;
+    private static final long RETRY_AFTER_SECONDS = 1;
+
+    private final Settings settings;
+    private final long incarnation;
+    private final PeerNetwork peers;
+    private final MembershipService membership;
+    private final UpstreamService upstreams;
+    private final Supplier<VersionedConfiguration> configuration;
+    private final TimeSource time;
+    private final MetricRegistry metrics;
+    private final PoolOwners owners;
+    private final OwnerTargets targets;
+    private final Map<String, ServiceSlots> slotsByService = new HashMap<>();
+    private final Map<String, String> ownerByPool = new HashMap<>();
+    private final Map<Long, PendingRequest> pending = new HashMap<>();
+    private final ScheduledExecutorService timer =
+            Executors.newSingleThreadScheduledExecutor(new io.netty.util.concurrent.DefaultThreadFactory("slots"));
+    private long nextRequestId;
+    private long nextOwnerTickMillis;
+
+    private record PendingRequest(String service, CompletableFuture<Either<Refusal, SlotLease>> answer) {}
+
+    /** A service of this instance. */
+    public SlotService(
+            Settings settings,
+            long incarnation,
+            PeerNetwork peers,
+            MembershipService membership,
+            UpstreamService upstreams,
+            Supplier<VersionedConfiguration> configuration,
+            TimeSource time,
+            MetricRegistry metrics) {
+        this.settings = settings;
+        this.incarnation = incarnation;
+        this.peers = peers;
+        this.membership = membership;
+        this.upstreams = upstreams;
+        this.configuration = configuration;
+        this.time = time;
+        this.metrics = metrics;
+        this.owners = new PoolOwners(settings.zone(), membership::owns, this::limitsOf);
+        this.targets = new OwnerTargets(settings.zone(), membership::ownerOf, this::instancesOf);
+        metrics.register("slots.pools.owned", (Gauge<Integer>) () -> locked(owners::size));
+        metrics.register("slots.requests.waiting", (Gauge<Integer>) () -> locked(pending::size));
+        peers.handle(Frame.BodyCase.SLOT_REQUEST, (frame, reply) -> onRequest(frame));
+        peers.handle(Frame.BodyCase.SLOT_GRANT, (frame, reply) -> onGrant(frame.getSlotGrant()));
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public void start() {
+        timer.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void stop() {
+        timer.shutdownNow();
+    }
+
+    @Override
+    public CompletableFuture<Either<Refusal, SlotLease>> acquire(SlotQuery query) {
+        CompletableFuture<Either<Refusal, SlotLease>> answer = new CompletableFuture<>();
+        run(query.service(), () -> {
+            long requestId = nextRequestId++;
+            pending.put(requestId, new PendingRequest(query.service(), answer));
+            return slotsOf(query.service())
+                    .submit(requestId, query.excluded(), query.deadlineMillis(), time.monotonicMillis());
+        });
+        return answer;
+    }
+
+    private void tick() {
+        List<Runnable> effects = new ArrayList<>();
+        synchronized (this) {
+            long now = time.monotonicMillis();
+            if (now >= nextOwnerTickMillis) {
+                nextOwnerTickMillis = now + OWNER_TICK_MILLIS;
+                owners.tick(now).forEach((service, grants) -> effects.addAll(sendGrants(service, grants)));
+                slotsByService.keySet().forEach(service -> effects.addAll(noticeOwner(service, now)));
+            }
+            slotsByService.forEach((service, slots) -> effects.addAll(effectsOf(service, slots.tick(now))));
+        }
+        effects.forEach(Runnable::run);
+    }
+
+    /** A new owner of the own zone's pool knows nothing of what the one before it granted. */
+    private List<Runnable> noticeOwner(String service, long nowMillis) {
+        String pool = ServiceSlots.poolName(settings.zone(), service);
+        String owner = membership.ownerOf(pool).orElse("");
+        String before = ownerByPool.put(pool, owner);
+        boolean changed = before != null && !before.equals(owner);
+        return changed
+                ? effectsOf(service, slotsByService.get(service).ownerChanged(settings.zone(), nowMillis))
+                : List.of();
+    }
+
+    private void onRequest(Frame frame) {
+        String pool = frame.getSlotRequest().getPool();
+        int slash = pool.indexOf('/');
+        String service = pool.substring(slash + 1);
+        boolean ownZone = pool.substring(0, Math.max(0, slash)).equals(settings.zone());
+        boolean remote = settings.peers().stream()
+                .anyMatch(peer ->
+                        peer.name().equals(frame.getSender()) && !peer.zone().equals(settings.zone()));
+        List<Runnable> effects = new ArrayList<>();
+        synchronized (this) {
+            Optional<Map<String, SlotGrant>> grants = ownZone
+                    ? owners.onRequest(
+                            service, frame.getSender(), remote, frame.getSlotRequest(), time.monotonicMillis())
+                    : Optional.empty();
+            grants.ifPresentOrElse(
+                    granted -> effects.addAll(sendGrants(service, granted)),
+                    () -> effects.addAll(tellOwner(pool, frame.getSender())));
+        }
+        effects.forEach(Runnable::run);
+    }
+
+    private List<Runnable> tellOwner(String pool, String asker) {
+        Optional<String> owner = membership.ownerOf(pool).filter(name -> !name.equals(settings.instance()));
+        if (owner.isEmpty()) {
+            return List.of();
+        }
+        SlotGrant answer = SlotGrant.newBuilder()
+                .setPool(pool)
+                .setNotOwner(true)
+                .setOwner(owner.get())
+                .build();
+        return List.of(() -> peers.send(asker, Frame.newBuilder().setSlotGrant(answer)));
+    }
+
+    private void onGrant(SlotGrant grant) {
+        int slash = grant.getPool().indexOf('/');
+        String zone = grant.getPool().substring(0, Math.max(0, slash));
+        String service = grant.getPool().substring(slash + 1);
+        run(service, () -> {
+            Optional<String> hint = grant.getNotOwner() ? Optional.of(grant.getOwner()) : Optional.empty();
+            targets.answered(grant.getPool(), hint);
+            ServiceSlots slots = slotsByService.get(service);
+            return slots == null ? List.of() : slots.onGrant(zone, grant, time.monotonicMillis());
+        });
+    }
+
+    private List<Runnable> sendGrants(String service, Map<String, SlotGrant> grants) {
+        List<Runnable> effects = new ArrayList<>();
+        grants.forEach((holder, grant) -> {
+            SlotGrant.Builder withAddresses = grant.toBuilder();
+            grant.getGrantedList().forEach(count -> upstreams
+                    .directory()
+                    .find(service, count.getEndpoint())
+                    .ifPresent(upstream -> withAddresses.addAddresses(SlotAddress.newBuilder()
+                            .setEndpoint(upstream.endpoint())
+                            .setAddress(upstream.address()))));
+            effects.add(() -> peers.send(holder, Frame.newBuilder().setSlotGrant(withAddresses)));
+        });
+        metrics.meter("slots.grants.sent").mark(grants.size());
+        return effects;
+    }
+
+    private void run(String service, Supplier<List<SlotAction>> step) {
+        List<Runnable> effects;
+        synchronized (this) {
+            effects = effectsOf(service, step.get());
+        }
+        effects.forEach(Runnable::run);
+    }
+
+    private List<Runnable> effectsOf(String service, List<SlotAction> actions) {
+        List<Runnable> effects = new ArrayList<>();
+        for (SlotAction action : actions) {
+            if (action instanceof SlotAction.Dispatch dispatch) {
+                PendingRequest request = pending.remove(dispatch.requestId());
+                Lease lease = new Lease(service, dispatch.zone(), upstreamOf(service, dispatch), new AtomicBoolean());
+                effects.add(() -> request.answer().complete(Either.right(lease)));
+            } else if (action instanceof SlotAction.Refuse refuse) {
+                PendingRequest request = pending.remove(refuse.requestId());
+                Refusal refusal = Refusal.notRun(refuse.reason(), service).withRetryAfterSeconds(RETRY_AFTER_SECONDS);
+                effects.add(() -> request.answer().complete(Either.left(refusal)));
+            } else if (action instanceof SlotAction.Ask ask) {
+                effects.addAll(ask(service, ask));
+            }
+        }
+        return effects;
+    }
+
+    private List<Runnable> ask(String service, SlotAction.Ask ask) {
+        String pool = ServiceSlots.poolName(ask.zone(), service);
+        long now = time.monotonicMillis();
+        Optional<String> target = targets.current(ask.zone(), pool, now);
+        if (target.isEmpty()) {
+            return List.of();
+        }
+        targets.asked(pool, now);
+        metrics.meter("slots.requests.sent").mark();
+        return List.of(() -> peers.send(target.get(), Frame.newBuilder().setSlotRequest(ask.request())));
+    }
+
+    private Upstream upstreamOf(String service, SlotAction.Dispatch dispatch) {
+        Optional<Upstream> known = upstreams.directory().find(service, dispatch.endpoint());
+        if (known.isPresent() && dispatch.zone().equals(settings.zone())) {
+            return known.get();
+        }
+        String address = slotsByService
+                .get(service)
+                .holder(dispatch.zone())
+                .flatMap(holder -> holder.addressOf(dispatch.endpoint()))
+                .orElse("0.0.0.0:0");
+        return new Upstream(service, dispatch.endpoint(), dispatch.zone(), address, 1, 0, 0, false, 0, 0);
+    }
+
+    private ServiceSlots slotsOf(String service) {
+        return slotsByService.computeIfAbsent(service, name -> {
+            Configuration current = configuration.get().configuration();
+            List<String> zones =
+                    current.zones().stream().map(AvailabilityZone::name).toList();
+            ServiceSlots slots = new ServiceSlots(
+                    name,
+                    SteeringPlan.pools(settings.zone(), zones, zone -> current.regionOf(zone)
+                            .orElse("")),
+                    zone -> true,
+                    incarnation,
+                    SteeringTimings.DEFAULT);
+            slots.setOrder(Comparator.comparingDouble(endpoint -> reportedLoad(name, endpoint)));
+            return slots;
+        });
+    }
+
+    private double reportedLoad(String service, String endpoint) {
+        return upstreams
+                .directory()
+                .find(service, endpoint)
+                .map(Upstream::reportedLoad)
+                .orElse(1.0);
+    }
+
+    private Map<String, Integer> limitsOf(String service) {
+        long now = time.epochMillis();
+        return EndpointLimits.of(
+                upstreams.directory().available(service, settings.zone(), now),
+                configuration.get().configuration(),
+                settings.zone(),
+                now);
+    }
+
+    private List<String> instancesOf(String zone) {
+        return settings.instances().stream()
+                .filter(instance -> instance.zone().equals(zone))
+                .map(Instance::name)
+                .toList();
+    }
+
+    private synchronized <T> T locked(Supplier<T> read) {
+        return read.get();
+    }
+
+    private void release(Lease lease, AttemptOutcome outcome) {
+        SlotOutcome slotOutcome = toSlotOutcome(outcome);
+        run(lease.service, () -> slotsByService
+                .get(lease.service)
+                .release(lease.zone, lease.upstream.endpoint(), slotOutcome, time.monotonicMillis()));
+    }
+
+    private static SlotOutcome toSlotOutcome(AttemptOutcome outcome) {
+        return switch (outcome) {
+            case ANSWERED -> SlotOutcome.SUCCESS;
+            case CONNECT_FAILED, FAILED -> SlotOutcome.FAILURE;
+            default -> SlotOutcome.NEUTRAL;
+        };
+    }
+
+    /** A slot in use. */
+    private final class Lease implements SlotLease {
+        private final String service;
+        private final String zone;
+        private final Upstream upstream;
+        private final AtomicBoolean released;
+
+        private Lease(String service, String zone, Upstream upstream, AtomicBoolean released) {
+            this.service = service;
+            this.zone = zone;
+            this.upstream = upstream;
+            this.released = released;
+        }
+
+        @Override
+        public Upstream upstream() {
+            return upstream;
+        }
+
+        @Override
+        public void release(AttemptOutcome outcome) {
+            if (released.compareAndSet(false, true)) {
+                SlotService.this.release(this, outcome);
+            }
+        }
+    }
+}
