Bound traffic by shift caps and link shares, refuse poison requests, and prove the gateway under faults

Cause: caps, links and crashing requests had no guard, and the gateway no failure tests. Change: floors and granted rates for caps, even link shares, a registry of requests that crash endpoints, a drain gate with a typed refusal, leave before stop. Found by the tests: a retry excluded 'service/endpoint' where pools know 'endpoint', so it went to the same endpoint; a body over 2 MiB was cut by the server's default; a caller's broken body was blamed on the endpoint; a retry without another endpoint hid the first reason. Each has its test. Links are split evenly and not lent, as shares then need no message.

--- a/src/main/java/org/bulrushwheel/cli/ServeCommand.java
+++ b/src/main/java/org/bulrushwheel/cli/ServeCommand.java
@@ -27,7 +27,7 @@
         Daemon daemon = new Daemon(settings, ioThreads);
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            daemon.close();
+            daemon.leaveAndClose();
             stopped.countDown();
         }));
         daemon.start();
--- a/src/main/java/org/bulrushwheel/daemon/Daemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/Daemon.java
@@ -15,11 +15,13 @@
 import org.bulrushwheel.server.HttpService;
 import org.bulrushwheel.server.admin.AdminHandler;
 import org.bulrushwheel.server.admin.RootTokenAuthorizer;
+import org.bulrushwheel.server.caps.ShiftCapService;
 import org.bulrushwheel.server.configuration.ConfigurationService;
 import org.bulrushwheel.server.gateway.GatewayHandler;
 import org.bulrushwheel.server.gateway.ReplicatedRunLedger;
 import org.bulrushwheel.server.lookup.LookupHandler;
 import org.bulrushwheel.server.membership.MembershipService;
+import org.bulrushwheel.server.poison.PoisonService;
 import org.bulrushwheel.server.slots.SlotService;
 import org.bulrushwheel.server.status.MetricsPages;
 import org.bulrushwheel.server.status.StatusHandler;
@@ -35,6 +37,9 @@
 public final class Daemon implements AutoCloseable {
     private static final long DRAIN_SECONDS = 15;
 
+    /** Time until every instance has heard that another one leaves. */
+    private static final long NEWS_MILLIS = 2_000;
+
     private final Settings settings;
     private final Kernel kernel = new Kernel();
     private final MetricRegistry metrics = new MetricRegistry();
@@ -58,6 +63,9 @@
                 metrics));
         SlotService slots = kernel.register(new SlotService(
                 settings, incarnation, peers, membership, upstreams, configuration::current, time, metrics));
+        ShiftCapService caps = kernel.register(new ShiftCapService(
+                settings, peers, configuration::current, () -> control.map(ControlService::status), time, metrics));
+        PoisonService poison = kernel.register(new PoisonService(settings, peers, time, metrics));
         HttpAnswers answers = new HttpAnswers(metrics);
         HttpService http = kernel.register(new HttpService(settings, ioThreads, metrics, answers));
         addPages(http, answers, configuration, control);
@@ -79,6 +87,8 @@
                         configuration::current,
                         slots,
                         new ReplicatedRunLedger(settings.instance(), incarnation, client, membership::isAlive),
+                        caps,
+                        poison,
                         time,
                         metrics,
                         answers));
@@ -111,6 +121,20 @@
         return settings;
     }
 
+    /**
+     * Stops without harm to callers: leaves look-ups first, serves on until the last answer that named this instance
+     * has lapsed, and then ends what is in flight.
+     */
+    public void leaveAndClose() {
+        kernel.find(MembershipService.NAME, MembershipService.class).leave();
+        try {
+            Thread.sleep(LookupHandler.CACHE_MILLIS + NEWS_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        close();
+    }
+
     /** Drains and stops every service. */
     @Override
     public void close() {
--- a/src/main/java/org/bulrushwheel/server/HttpService.java
+++ b/src/main/java/org/bulrushwheel/server/HttpService.java
@@ -1,13 +1,10 @@
 package org.bulrushwheel.server;
 
-import java.util.concurrent.TimeUnit;
-
 import com.codahale.metrics.MetricRegistry;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.handlers.GracefulShutdownHandler;
 import io.undertow.server.handlers.PathHandler;
 import org.bulrushwheel.kernel.KernelService;
 import org.bulrushwheel.model.instance.Address;
@@ -30,13 +27,17 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(HttpService.class);
     private static final int MAX_HEADER_BYTES = 16 * 1024;
     private static final int MAX_HEADERS = 100;
+
+    /** Bodies are streamed; handlers that buffer one set their own limit. */
+    private static final long UNLIMITED_BYTES = -1;
+
     private static final int IDLE_TIMEOUT_MILLIS = 60_000;
     private static final int REQUEST_PARSE_TIMEOUT_MILLIS = 10_000;
 
     private final Address address;
     private final int ioThreads;
     private final PathHandler paths = new PathHandler();
-    private final GracefulShutdownHandler shutdown;
+    private final DrainGate gate;
     private final MetricRegistry metrics;
     private final HttpAnswers answers;
     private @Nullable Undertow undertow;
@@ -47,7 +48,7 @@
         this.ioThreads = ioThreads;
         this.metrics = metrics;
         this.answers = answers;
-        this.shutdown = new GracefulShutdownHandler(guard(paths));
+        this.gate = new DrainGate(guard(paths), answers);
     }
 
     @Override
@@ -73,22 +74,22 @@
                 .setWorkerThreads(4)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
                 .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, UNLIMITED_BYTES)
                 .setServerOption(UndertowOptions.IDLE_TIMEOUT, IDLE_TIMEOUT_MILLIS)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_PARSE_TIMEOUT_MILLIS)
                 .setServerOption(UndertowOptions.ENABLE_STATISTICS, false)
-                .setHandler(shutdown)
+                .setHandler(gate)
                 .build();
         undertow.start();
     }
 
     @Override
     public void drain(long deadlineNanos) {
-        shutdown.shutdown();
-        long remainingMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+        gate.close();
         try {
-            if (!shutdown.awaitShutdown(Math.max(1, remainingMillis))) {
+            if (!gate.awaitEmpty(deadlineNanos)) {
                 metrics.counter("http.drain.incomplete").inc();
-                LOGGER.warn("requests were still in flight at the end of the drain");
+                LOGGER.warn("requests={} were still in flight at the end of the drain", gate.inFlight());
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/caps/ShiftCapService.java
@@ -0,0 +1,235 @@
+package org.bulrushwheel.server.caps;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import org.bulrushwheel.control.ReplicaStatus;
+import org.bulrushwheel.kernel.KernelService;
+import org.bulrushwheel.logic.budget.RateBudgetOwner;
+import org.bulrushwheel.logic.budget.RateLimiter;
+import org.bulrushwheel.logic.budget.RateTimings;
+import org.bulrushwheel.logic.config.ShiftCalendar;
+import org.bulrushwheel.logic.raft.RaftRole;
+import org.bulrushwheel.logic.time.TimeSource;
+import org.bulrushwheel.model.config.Configuration;
+import org.bulrushwheel.model.config.ShiftCap;
+import org.bulrushwheel.model.config.VersionedConfiguration;
+import org.bulrushwheel.model.instance.Instance;
+import org.bulrushwheel.model.proto.Frame;
+import org.bulrushwheel.model.proto.RateAmount;
+import org.bulrushwheel.model.proto.RateDemand;
+import org.bulrushwheel.model.proto.RateGrant;
+import org.bulrushwheel.model.proto.RateRequest;
+import org.bulrushwheel.model.settings.Settings;
+import org.bulrushwheel.server.gateway.Admission;
+import org.bulrushwheel.wire.PeerNetwork;
+
+/**
+ * Keeps the traffic of all instances under the cap of the shift. Half of a cap is split evenly as floors; the leader of
+ * the control replicas grants the other half by demand.
+ *
+ * <p>Invariant: floors and live grants add up to at most the cap; a leader grants nothing until the grants of the one
+ * before it have ended. Thread safe: guarded by itself.
+ */
+public final class ShiftCapService implements KernelService, Admission {
+    /** Name in the kernel. */
+    public static final String NAME = "caps";
+
+    private static final RateTimings TIMINGS = RateTimings.CAPS;
+    private static final int FLOOR_DIVISOR = 2;
+
+    private final Settings settings;
+    private final PeerNetwork peers;
+    private final Supplier<VersionedConfiguration> configuration;
+    private final Supplier<Optional<ReplicaStatus>> replica;
+    private final TimeSource time;
+    private final MetricRegistry metrics;
+    private final List<String> controlInstances;
+    private final Map<String, Limit> limitsByName = new HashMap<>();
+    private final Map<String, RateBudgetOwner> ownersByName = new HashMap<>();
+    private final ScheduledExecutorService timer =
+            Executors.newSingleThreadScheduledExecutor(new io.netty.util.concurrent.DefaultThreadFactory("caps"));
+    private long leaderSinceMillis = Long.MAX_VALUE;
+    private long leaderTerm = -1;
+    private long sequence;
+    private int target;
+    private boolean answered;
+
+    /** One cap as this instance uses it. */
+    private static final class Limit {
+        private final RateLimiter limiter;
+        private final Map<Long, Long> askedMillisBySequence = new HashMap<>();
+
+        private Limit(long floorPerSecond) {
+            limiter = new RateLimiter(floorPerSecond);
+        }
+    }
+
+    /** A service that asks the control instances of the settings. */
+    public ShiftCapService(
+            Settings settings,
+            PeerNetwork peers,
+            Supplier<VersionedConfiguration> configuration,
+            Supplier<Optional<ReplicaStatus>> replica,
+            TimeSource time,
+            MetricRegistry metrics) {
+        this.settings = settings;
+        this.peers = peers;
+        this.configuration = configuration;
+        this.replica = replica;
+        this.time = time;
+        this.metrics = metrics;
+        this.controlInstances = settings.instances().stream()
+                .filter(Instance::control)
+                .map(Instance::name)
+                .toList();
+        peers.handle(Frame.BodyCase.RATE_REQUEST, (frame, reply) -> onRequest(frame));
+        peers.handle(Frame.BodyCase.RATE_GRANT, (frame, reply) -> onGrant(frame.getRateGrant()));
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public void start() {
+        timer.scheduleWithFixedDelay(this::renew, 0, TIMINGS.renewMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void stop() {
+        timer.shutdownNow();
+    }
+
+    @Override
+    public synchronized boolean tryAdmit(String service) {
+        Optional<ShiftCap> cap = capNow(service);
+        if (cap.isEmpty()) {
+            return true;
+        }
+        return limitOf(cap.get()).limiter.tryAcquire(time.monotonicMillis());
+    }
+
+    private Optional<ShiftCap> capNow(String service) {
+        Configuration current = configuration.get().configuration();
+        if (current.shiftCaps().isEmpty()) {
+            return Optional.empty();
+        }
+        return new ShiftCalendar(current)
+                .shiftAt(time.epochMillis())
+                .flatMap(shift -> current.capOf(service, shift.name()));
+    }
+
+    private Limit limitOf(ShiftCap cap) {
+        return limitsByName.computeIfAbsent(nameOf(cap), name -> new Limit(floorOf(cap)));
+    }
+
+    private long floorOf(ShiftCap cap) {
+        return cap.requestsPerSecond() / FLOOR_DIVISOR / settings.instances().size();
+    }
+
+    /** A cap that was changed is another limit: what was granted of the old one ends with it. */
+    private static String nameOf(ShiftCap cap) {
+        return cap.service() + "/" + cap.shift() + "/" + cap.requestsPerSecond();
+    }
+
+    private void renew() {
+        RateRequest.Builder request = RateRequest.newBuilder();
+        String asked;
+        synchronized (this) {
+            noteLeadership();
+            if (controlInstances.isEmpty() || limitsByName.isEmpty()) {
+                return;
+            }
+            if (!answered) {
+                target++;
+            }
+            answered = false;
+            asked = controlInstances.get(target % controlInstances.size());
+            limitsByName.forEach((name, limit) -> request.addDemands(demandOf(name, limit)));
+        }
+        peers.send(asked, Frame.newBuilder().setRateRequest(request));
+    }
+
+    private RateDemand demandOf(String name, Limit limit) {
+        long now = time.monotonicMillis();
+        limit.askedMillisBySequence.values().removeIf(asked -> asked < now - TIMINGS.validMillis());
+        limit.askedMillisBySequence.put(++sequence, now);
+        return RateDemand.newBuilder()
+                .setLimit(name)
+                .setSequence(sequence)
+                .setWanted(limit.limiter.wantedPerSecond(now))
+                .build();
+    }
+
+    private void onRequest(Frame frame) {
+        RateGrant.Builder grant = RateGrant.newBuilder();
+        synchronized (this) {
+            if (!mayGrant()) {
+                return;
+            }
+            for (RateDemand demand : frame.getRateRequest().getDemandsList()) {
+                ownerOf(demand.getLimit())
+                        .ifPresent(owner -> grant.addAmounts(RateAmount.newBuilder()
+                                .setLimit(demand.getLimit())
+                                .setSequence(demand.getSequence())
+                                .setValidForMillis(TIMINGS.validMillis())
+                                .setGranted(
+                                        owner.request(frame.getSender(), demand.getWanted(), time.monotonicMillis()))));
+            }
+        }
+        metrics.meter("caps.grants.sent").mark();
+        peers.send(frame.getSender(), Frame.newBuilder().setRateGrant(grant));
+    }
+
+    private synchronized void onGrant(RateGrant grant) {
+        answered = true;
+        for (RateAmount amount : grant.getAmountsList()) {
+            Limit limit = limitsByName.get(amount.getLimit());
+            Long askedMillis = limit == null ? null : limit.askedMillisBySequence.get(amount.getSequence());
+            if (askedMillis != null) {
+                limit.limiter.onGrant(amount.getGranted(), askedMillis + amount.getValidForMillis());
+            }
+        }
+    }
+
+    /** The pool of a limit that is in the configuration in force. */
+    private Optional<RateBudgetOwner> ownerOf(String name) {
+        Optional<ShiftCap> cap = configuration.get().configuration().shiftCaps().stream()
+                .filter(candidate -> nameOf(candidate).equals(name))
+                .findFirst();
+        return cap.map(known -> {
+            RateBudgetOwner owner = ownersByName.computeIfAbsent(name, limit -> new RateBudgetOwner(TIMINGS));
+            owner.setPool(known.requestsPerSecond()
+                    - floorOf(known) * settings.instances().size());
+            return owner;
+        });
+    }
+
+    private boolean mayGrant() {
+        noteLeadership();
+        return leaderSinceMillis != Long.MAX_VALUE
+                && time.monotonicMillis() - leaderSinceMillis >= TIMINGS.takeoverMillis();
+    }
+
+    private void noteLeadership() {
+        Optional<ReplicaStatus> leading =
+                replica.get().filter(status -> status.role() == RaftRole.LEADER && status.running());
+        if (leading.isEmpty()) {
+            leaderSinceMillis = Long.MAX_VALUE;
+            ownersByName.clear();
+        } else if (leaderSinceMillis == Long.MAX_VALUE || leading.get().term() != leaderTerm) {
+            leaderSinceMillis = time.monotonicMillis();
+            leaderTerm = leading.get().term();
+            ownersByName.clear();
+        }
+    }
+}
--- a/src/main/java/org/bulrushwheel/server/gateway/BodyStreams.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/BodyStreams.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.Channel;
 import java.util.function.Consumer;
 
 import io.undertow.client.ClientExchange;
@@ -25,14 +26,34 @@
     }
 
     /** Passes the caller's body on to the upstream. */
-    static void streamRequest(HttpServerExchange exchange, ClientExchange upstream, Consumer<IOException> failed) {
-        transfer(exchange.getRequestChannel(), upstream.getRequestChannel(), exchange, () -> {}, failed);
+    static void streamRequest(
+            HttpServerExchange exchange,
+            ClientExchange upstream,
+            Consumer<IOException> callerFailed,
+            Consumer<IOException> upstreamFailed) {
+        transfer(
+                exchange.getRequestChannel(),
+                upstream.getRequestChannel(),
+                exchange,
+                () -> {},
+                callerFailed,
+                upstreamFailed);
     }
 
     /** Passes the upstream's body on to the caller and ends the caller's answer behind it. */
     static void streamResponse(
-            HttpServerExchange exchange, ClientExchange upstream, Runnable completed, Consumer<IOException> failed) {
-        transfer(upstream.getResponseChannel(), exchange.getResponseChannel(), exchange, completed, failed);
+            HttpServerExchange exchange,
+            ClientExchange upstream,
+            Runnable completed,
+            Consumer<IOException> upstreamFailed,
+            Consumer<IOException> callerFailed) {
+        transfer(
+                upstream.getResponseChannel(),
+                exchange.getResponseChannel(),
+                exchange,
+                completed,
+                upstreamFailed,
+                callerFailed);
     }
 
     private static void transfer(
@@ -40,18 +61,20 @@
             StreamSinkChannel sink,
             HttpServerExchange exchange,
             Runnable completed,
-            Consumer<IOException> failed) {
-        ChannelExceptionHandler<java.nio.channels.Channel> onError = (channel, error) -> failed.accept(error);
+            Consumer<IOException> readFailed,
+            Consumer<IOException> writeFailed) {
+        ChannelExceptionHandler<Channel> onReadError = (channel, error) -> readFailed.accept(error);
+        ChannelExceptionHandler<Channel> onWriteError = (channel, error) -> writeFailed.accept(error);
         Transfer.initiateTransfer(
                 source,
                 sink,
                 channel -> {},
                 channel -> {
                     completed.run();
-                    end(sink, failed);
+                    end(sink, writeFailed);
                 },
-                onError,
-                onError,
+                onReadError,
+                onWriteError,
                 exchange.getConnection().getByteBufferPool());
     }
 
--- a/src/main/java/org/bulrushwheel/server/gateway/GatewayExchange.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/GatewayExchange.java
@@ -32,6 +32,7 @@
  */
 final class GatewayExchange {
     private static final int MAX_ATTEMPTS = 4;
+    private static final int MAX_CRASH_RETRIES = 1;
     private static final long SILENCE_MILLIS = 2_000;
 
     private final HttpServerExchange exchange;
@@ -43,6 +44,8 @@
 
     private AnswerSink sink = AnswerSink.DIRECT;
     private int attempts;
+    private int crashes;
+    private Optional<Refusal> lastRefusal = Optional.empty();
     private boolean earlierAttemptMayHaveRun;
     private boolean bodyConsumed;
     private Optional<Attempt> current = Optional.empty();
@@ -68,12 +71,16 @@
 
         /** Ends the attempt once; false when it had ended before. */
         boolean finish(AttemptOutcome outcome) {
+            return finish(outcome, 0);
+        }
+
+        boolean finish(AttemptOutcome outcome, long bytes) {
             if (finished) {
                 return false;
             }
             finished = true;
             timer.ifPresent(XnioExecutor.Key::remove);
-            lease.release(outcome);
+            lease.release(outcome, bytes);
             return true;
         }
     }
@@ -91,6 +98,10 @@
     }
 
     private void attempt() {
+        if (services.poison().hasSuspects() && services.poison().isPoison(request.fingerprint())) {
+            refuse(Refusal.notRun(RefusalReason.POISON_REQUEST, request.service()));
+            return;
+        }
         attempts++;
         SlotQuery query = new SlotQuery(request.service(), failedEndpoints, request.deadlineMillis());
         services.slots().acquire(query).thenAccept(result -> thread.execute(() -> onSlot(result)));
@@ -98,7 +109,7 @@
 
     private void onSlot(Either<Refusal, SlotLease> result) {
         if (result.isLeft()) {
-            refuse(result.getLeft());
+            refuse(lastRefusal.orElse(result.getLeft()));
             return;
         }
         Attempt attempt = new Attempt(result.get());
@@ -179,7 +190,8 @@
 
     private void writeBody(Attempt attempt, ClientExchange clientExchange) {
         if (streamed) {
-            BodyStreams.streamRequest(exchange, clientExchange, e -> onFailed(attempt, e, false));
+            BodyStreams.streamRequest(
+                    exchange, clientExchange, e -> onCallerFailed(attempt, e), e -> onFailed(attempt, e, false));
             return;
         }
         BodyStreams.write(clientExchange.getRequestChannel(), request.body(), e -> onFailed(attempt, e, false));
@@ -215,7 +227,7 @@
         if (attempt.finished) {
             return;
         }
-        finishAnswered(attempt, response.getResponseHeaders());
+        finishAnswered(attempt, response.getResponseHeaders(), body.length);
         BufferedAnswer answer =
                 new BufferedAnswer(response.getResponseCode(), callerHeaders(attempt, response), body, true);
         sink.answered(answer, () -> send(exchange, answer));
@@ -246,8 +258,9 @@
         BodyStreams.streamResponse(
                 exchange,
                 clientExchange,
-                () -> finishAnswered(attempt, response.getResponseHeaders()),
-                e -> onStreamBroken(attempt));
+                () -> finishAnswered(attempt, response.getResponseHeaders(), Math.max(0, lengthBytes)),
+                e -> onStreamBroken(attempt),
+                e -> abandon(attempt));
     }
 
     /** Part of the answer has gone out: only a reset tells the caller that the rest is missing. */
@@ -262,6 +275,7 @@
     private void onShed(Attempt attempt) {
         attempt.connection.ifPresent(connection -> services.connections().discard(connection, false));
         if (attempt.finish(AttemptOutcome.SHED)) {
+            exclude(attempt);
             Refusal refusal = Refusal.notRun(
                     RefusalReason.UPSTREAM_SHED, attempt.lease.upstream().id());
             retryOr(attempt, "shed", refusal.withRetryAfterSeconds(1));
@@ -270,6 +284,7 @@
 
     private void onConnectFailed(Attempt attempt, IOException e) {
         if (attempt.finish(AttemptOutcome.CONNECT_FAILED)) {
+            exclude(attempt);
             retryOr(
                     attempt,
                     "connect-failed",
@@ -279,12 +294,27 @@
         }
     }
 
+    /** The caller's body ended early: what the upstream got of it is not whole. */
+    private void onCallerFailed(Attempt attempt, IOException e) {
+        if (attempt.finish(AttemptOutcome.NEUTRAL)) {
+            attempt.connection.ifPresent(connection -> services.connections().discard(connection, false));
+            exchange.setPersistent(false);
+            refuse(Refusal.unknown(RefusalReason.BODY_INCOMPLETE, String.valueOf(e.getMessage())));
+        }
+    }
+
     private void onFailed(Attempt attempt, IOException e, boolean silent) {
         if (!attempt.finish(AttemptOutcome.FAILED)) {
             return;
         }
         attempt.connection.ifPresent(connection -> services.connections().discard(connection, silent));
         earlierAttemptMayHaveRun = true;
+        if (!silent) {
+            exclude(attempt);
+            crashes++;
+            services.poison()
+                    .onCrash(request.fingerprint(), attempt.lease.upstream().id());
+        }
         Refusal refusal = Refusal.unknown(
                 RefusalReason.UPSTREAM_FAILED, attempt.lease.upstream().id() + ": " + e.getMessage());
         if (request.route().idempotent()) {
@@ -294,9 +324,15 @@
         }
     }
 
+    /** Another endpoint is to be tried next; one whose connection went silent is not at fault itself. */
+    private void exclude(Attempt attempt) {
+        failedEndpoints.add(attempt.lease.upstream().endpoint());
+    }
+
     private void retryOr(Attempt attempt, String reason, Refusal refusal) {
-        failedEndpoints.add(attempt.lease.upstream().id());
+        lastRefusal = Optional.of(refusal);
         boolean allowed = attempts < MAX_ATTEMPTS
+                && crashes <= MAX_CRASH_RETRIES
                 && !bodyConsumed
                 && remainingMillis() > 0
                 && !exchange.isResponseStarted()
@@ -345,10 +381,13 @@
         sink.refused(truthful, () -> services.answers().refuse(exchange, truthful));
     }
 
-    private void finishAnswered(Attempt attempt, HeaderMap headers) {
-        if (!attempt.finish(AttemptOutcome.ANSWERED)) {
+    private void finishAnswered(Attempt attempt, HeaderMap headers, long answerBytes) {
+        if (!attempt.finish(AttemptOutcome.ANSWERED, request.body().length + answerBytes)) {
             return;
         }
+        if (services.poison().hasSuspects()) {
+            services.poison().onAnswer(request.fingerprint());
+        }
         services.metrics().meter("gateway.answers").mark();
         boolean close = "close".equalsIgnoreCase(headers.getFirst(Headers.CONNECTION));
         attempt.connection.ifPresent(connection -> {
--- a/src/main/java/org/bulrushwheel/server/gateway/GatewayHandler.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/GatewayHandler.java
@@ -48,6 +48,8 @@
             Supplier<VersionedConfiguration> configuration,
             SlotSource slots,
             RunLedger ledger,
+            Admission admission,
+            PoisonGuard poison,
             TimeSource time,
             MetricRegistry metrics,
             HttpAnswers answers) {
@@ -56,6 +58,8 @@
                 instance,
                 slots,
                 ledger,
+                admission,
+                poison,
                 new UpstreamConnections(time, metrics),
                 new RetryBudget(RETRIES_PER_THOUSAND, RETRY_RESERVE),
                 time,
@@ -81,6 +85,12 @@
             services.answers().refuse(exchange, request.getLeft());
             return;
         }
+        if (!services.admission().tryAdmit(request.get().service())) {
+            Refusal refusal = Refusal.notRun(
+                    RefusalReason.SHIFT_CAP_REACHED, request.get().service());
+            services.answers().refuse(exchange, refusal.withRetryAfterSeconds(1));
+            return;
+        }
         if (mustStream(exchange, request.get())) {
             start(exchange, request.get(), true);
             return;
--- a/src/main/java/org/bulrushwheel/server/gateway/GatewayRequest.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/GatewayRequest.java
@@ -1,5 +1,9 @@
 package org.bulrushwheel.server.gateway;
 
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 import java.util.Optional;
 
 import io.undertow.util.HeaderMap;
@@ -28,4 +32,24 @@
         HeaderMap headers,
         byte[] body,
         Optional<String> idempotencyKey,
-        long deadlineMillis) {}
+        long deadlineMillis) {
+    /** Returns the SHA-256 of method, path and body. */
+    byte[] digest() {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            digest.update(method.toString().getBytes(StandardCharsets.UTF_8));
+            digest.update((byte) 0);
+            digest.update(path.getBytes(StandardCharsets.UTF_8));
+            digest.update((byte) 0);
+            digest.update(body);
+            return digest.digest();
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("this Java has no SHA-256; run another one", e);
+        }
+    }
+
+    /** Returns what tells this request from others whoever sends it: service and digest. */
+    String fingerprint() {
+        return service + "/" + HexFormat.of().formatHex(digest());
+    }
+}
--- a/src/main/java/org/bulrushwheel/server/gateway/GatewayServices.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/GatewayServices.java
@@ -13,6 +13,8 @@
  * @param instance name of this instance
  * @param slots source of slots
  * @param ledger run ledger
+ * @param admission cap of the shift
+ * @param poison requests that crash endpoints
  * @param connections connections to endpoints
  * @param retries budget of retries
  * @param time time
@@ -23,6 +25,8 @@
         String instance,
         SlotSource slots,
         RunLedger ledger,
+        Admission admission,
+        PoisonGuard poison,
         UpstreamConnections connections,
         RetryBudget retries,
         TimeSource time,
--- a/src/main/java/org/bulrushwheel/server/gateway/OnceGuard.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/OnceGuard.java
@@ -1,8 +1,5 @@
 package org.bulrushwheel.server.gateway;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.UUID;
 
 import com.google.protobuf.ByteString;
@@ -40,7 +37,7 @@
         this.claim = ClaimKey.newBuilder()
                 .setService(request.service())
                 .setKey(request.idempotencyKey().orElseThrow())
-                .setRequestDigest(digest(request))
+                .setRequestDigest(ByteString.copyFrom(request.digest()))
                 .setClaimId(UUID.randomUUID().toString())
                 .build();
     }
@@ -133,18 +130,4 @@
         }
         return stored.build();
     }
-
-    private static ByteString digest(GatewayRequest request) {
-        try {
-            MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            digest.update(request.method().toString().getBytes(StandardCharsets.UTF_8));
-            digest.update((byte) 0);
-            digest.update(request.path().getBytes(StandardCharsets.UTF_8));
-            digest.update((byte) 0);
-            digest.update(request.body());
-            return ByteString.copyFrom(digest.digest());
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("this Java has no SHA-256; run another one", e);
-        }
-    }
 }
--- a/src/main/java/org/bulrushwheel/server/gateway/SlotLease.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/SlotLease.java
@@ -7,6 +7,11 @@
     /** Returns the endpoint. */
     Upstream upstream();
 
-    /** Gives the permission back, once; says how the request ended. */
-    void release(AttemptOutcome outcome);
+    /**
+     * Gives the permission back, once.
+     *
+     * @param outcome how the request ended
+     * @param bytes bytes of the request and its answer
+     */
+    void release(AttemptOutcome outcome, long bytes);
 }
--- a/src/main/java/org/bulrushwheel/server/gateway/SlotQuery.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/SlotQuery.java
@@ -8,7 +8,7 @@
  * <p>Immutable and thread safe.
  *
  * @param service service of the request
- * @param excluded endpoints that this request has failed on, by identity
+ * @param excluded names of the endpoints that this request has failed on
  * @param deadlineMillis monotonic time up to which to wait
  */
 public record SlotQuery(String service, Set<String> excluded, long deadlineMillis) {
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/poison/package-info.java
@@ -0,0 +1,5 @@
+/** Requests that crash endpoints, known to all instances. */
+@NullMarked
+package org.bulrushwheel.server.poison;
+
+import org.jspecify.annotations.NullMarked;
--- a/src/main/java/org/bulrushwheel/server/slots/SlotService.java
+++ b/src/main/java/org/bulrushwheel/server/slots/SlotService.java
@@ -17,6 +17,8 @@
 import com.codahale.metrics.MetricRegistry;
 import io.vavr.control.Either;
 import org.bulrushwheel.kernel.KernelService;
+import org.bulrushwheel.logic.budget.LinkMeter;
+import org.bulrushwheel.logic.budget.LinkShares;
 import org.bulrushwheel.logic.steering.EndpointLimits;
 import org.bulrushwheel.logic.steering.ServiceSlots;
 import org.bulrushwheel.logic.steering.SlotAction;
@@ -66,6 +68,7 @@
     private final MetricRegistry metrics;
     private final PoolOwners owners;
     private final OwnerTargets targets;
+    private final LinkMeter links = new LinkMeter();
     private final Map<String, ServiceSlots> slotsByService = new HashMap<>();
     private final Map<String, String> ownerByPool = new HashMap<>();
     private final Map<Long, PendingRequest> pending = new HashMap<>();
@@ -229,6 +232,7 @@
         for (SlotAction action : actions) {
             if (action instanceof SlotAction.Dispatch dispatch) {
                 PendingRequest request = pending.remove(dispatch.requestId());
+                links.onSent(regionOf(dispatch.zone()), time.monotonicMillis());
                 Lease lease = new Lease(service, dispatch.zone(), upstreamOf(service, dispatch), new AtomicBoolean());
                 effects.add(() -> request.answer().complete(Either.right(lease)));
             } else if (action instanceof SlotAction.Refuse refuse) {
@@ -276,7 +280,7 @@
                     name,
                     SteeringPlan.pools(settings.zone(), zones, zone -> current.regionOf(zone)
                             .orElse("")),
-                    zone -> true,
+                    this::mayUseZone,
                     incarnation,
                     SteeringTimings.DEFAULT);
             slots.setOrder(Comparator.comparingDouble(endpoint -> reportedLoad(name, endpoint)));
@@ -312,17 +316,41 @@
         return read.get();
     }
 
-    private void release(Lease lease, AttemptOutcome outcome) {
+    private void release(Lease lease, AttemptOutcome outcome, long bytes) {
         SlotOutcome slotOutcome = toSlotOutcome(outcome);
-        run(lease.service, () -> slotsByService
-                .get(lease.service)
-                .release(lease.zone, lease.upstream.endpoint(), slotOutcome, time.monotonicMillis()));
+        run(lease.service, () -> {
+            long now = time.monotonicMillis();
+            links.onFinished(regionOf(lease.zone), bytes, now);
+            return slotsByService.get(lease.service).release(lease.zone, lease.upstream.endpoint(), slotOutcome, now);
+        });
+    }
+
+    private String regionOf(String zone) {
+        return configuration.get().configuration().regionOf(zone).orElse("");
+    }
+
+    /** Whether this instance's share of the link from a zone's region has room; the own region has no such link. */
+    private boolean mayUseZone(String zone) {
+        String region = regionOf(zone);
+        if (region.equals(settings.region())) {
+            return true;
+        }
+        Configuration current = configuration.get().configuration();
+        long share =
+                LinkShares.bytesPerSecond(current, settings.region(), region, instancesOfRegion(settings.region()));
+        return links.hasRoom(region, share, time.monotonicMillis());
+    }
+
+    private int instancesOfRegion(String region) {
+        return (int) settings.instances().stream()
+                .filter(instance -> instance.region().equals(region))
+                .count();
     }
 
     private static SlotOutcome toSlotOutcome(AttemptOutcome outcome) {
         return switch (outcome) {
             case ANSWERED -> SlotOutcome.SUCCESS;
-            case CONNECT_FAILED, FAILED -> SlotOutcome.FAILURE;
+            case CONNECT_FAILED, FAILED, SHED -> SlotOutcome.FAILURE;
             default -> SlotOutcome.NEUTRAL;
         };
     }
@@ -347,9 +375,9 @@
         }
 
         @Override
-        public void release(AttemptOutcome outcome) {
+        public void release(AttemptOutcome outcome, long bytes) {
             if (released.compareAndSet(false, true)) {
-                SlotService.this.release(this, outcome);
+                SlotService.this.release(this, outcome, bytes);
             }
         }
     }
--- a/src/main/java/org/bulrushwheel/standin/StandInUpstream.java
+++ b/src/main/java/org/bulrushwheel/standin/StandInUpstream.java
@@ -60,6 +60,7 @@
                 .addHttpListener(port, "127.0.0.1")
                 .setIoThreads(2)
                 .setWorkerThreads(2)
+                .setServerOption(io.undertow.UndertowOptions.MAX_ENTITY_SIZE, -1L)
                 .setHandler(this::handle)
                 .build();
     }
@@ -201,6 +202,7 @@
     private void crash(HttpServerExchange exchange) {
         crashed = true;
         IoUtils.safeClose(exchange.getConnection());
+        new Thread(undertow::stop, "crash").start();
         onCrash.run();
     }
 
