Spread configurations as changes down a tree, and give operators roles and teams

Cause: every instance got whole documents from every replica, an instance without a disk could come back under an older version, and one token ruled everything. Change: control tells two instances of a zone, they tell their zone; changes instead of documents; nothing is in force after a start until a confirmed leader names the newest version (4 s of grace when cut off); operators, team scopes, audit trail, drains, history. Found: a request refused after 250 ms although the own zone's owner had only just begun; the wait now counts from then.

--- a/src/main/java/org/bulrushwheel/cli/ConfigCommand.java
+++ b/src/main/java/org/bulrushwheel/cli/ConfigCommand.java
@@ -2,11 +2,13 @@
 
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 
 import org.bulrushwheel.client.HttpAnswer;
 import org.bulrushwheel.logic.config.ConfigurationChecker;
 import org.bulrushwheel.logic.config.ConfigurationCodec;
+import org.bulrushwheel.logic.config.ConfigurationDelta;
 import org.bulrushwheel.logic.config.ConfigurationGenerator;
 import org.bulrushwheel.logic.config.QuestionnaireAnswers;
 import org.bulrushwheel.model.config.Configuration;
@@ -22,15 +24,16 @@
         mixinStandardHelpOptions = true,
         description = "Generate, check, show and accept configurations.",
         subcommands = {
+            ConfigCommand.Questionnaire.class,
             ConfigCommand.Generate.class,
             ConfigCommand.Check.class,
             ConfigCommand.Show.class,
-            ConfigCommand.Accept.class
+            ConfigCommand.Accept.class,
+            ConfigCommand.History.class
         })
 final class ConfigCommand {
     private static Configuration readChecked(Path path) {
-        Configuration configuration = ConfigurationCodec.read(Documents.read(path), Configuration.class)
-                .getOrElseThrow(fault -> new UsageException(path + ": " + fault));
+        Configuration configuration = readDocument(Documents.read(path), path.toString());
         List<String> faults = ConfigurationChecker.check(configuration);
         if (!faults.isEmpty()) {
             throw new UsageException(path + " has faults:\n  " + String.join("\n  ", faults));
@@ -38,6 +41,41 @@
         return configuration;
     }
 
+    private static Configuration readDocument(String document, String name) {
+        return ConfigurationCodec.read(document, Configuration.class)
+                .getOrElseThrow(fault -> new UsageException(name + ": " + fault));
+    }
+
+    /** Asks the questions. */
+    @Command(
+            name = "questionnaire",
+            mixinStandardHelpOptions = true,
+            description = "Ask the questions on the terminal and print the answers as TOML.")
+    static final class Questionnaire implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            System.out.print(ConfigurationCodec.write(new QuestionnaireDialogue(System.in, System.err).ask()));
+            return ExitCodes.DONE;
+        }
+    }
+
+    /** Shows the audit trail. */
+    @Command(
+            name = "history",
+            mixinStandardHelpOptions = true,
+            description = "Show who changed what, oldest first, as JSON lines.")
+    static final class History implements Callable<Integer> {
+        @Mixin
+        private AdminOptions admin;
+
+        @Override
+        public Integer call() {
+            HttpAnswer answer = admin.call("GET", AdminHandler.HISTORY_PATH, Map.of(), new byte[0]);
+            answer.json().forEach(System.out::println);
+            return ExitCodes.DONE;
+        }
+    }
+
     /** Generates a configuration from answers. */
     @Command(
             name = "generate",
@@ -79,7 +117,7 @@
 
         @Override
         public Integer call() {
-            HttpAnswer answer = admin.call("GET", AdminHandler.CONFIGURATION_PATH, java.util.Map.of(), new byte[0]);
+            HttpAnswer answer = admin.call("GET", AdminHandler.CONFIGURATION_PATH, Map.of(), new byte[0]);
             System.out.println(
                     "# version " + answer.header("Bulrushwheel-Version").orElse("?"));
             System.out.print(answer.text());
@@ -110,12 +148,13 @@
 
         @Override
         public Integer call() {
-            readChecked(path);
+            Configuration wanted = readChecked(path);
+            showDifference(wanted);
             System.err.println("change id " + changeId);
             HttpAnswer answer = admin.call(
                     "POST",
                     AdminHandler.CONFIGURATION_PATH,
-                    java.util.Map.of(
+                    Map.of(
                             AdminHandler.EXPECTED_VERSION.toString(),
                             Long.toString(expectedVersion),
                             AdminHandler.CHANGE_ID.toString(),
@@ -125,5 +164,13 @@
                     "accepted as version " + answer.json().path("version").asLong());
             return ExitCodes.DONE;
         }
+
+        private void showDifference(Configuration wanted) {
+            HttpAnswer answer = admin.call("GET", AdminHandler.CONFIGURATION_PATH, Map.of(), new byte[0]);
+            Configuration current = answer.text().isEmpty()
+                    ? Configuration.EMPTY
+                    : readDocument(answer.text(), "configuration in force");
+            ConfigurationDelta.between(current, wanted).describe(current).forEach(System.err::println);
+        }
     }
 }
--- a/src/main/java/org/bulrushwheel/cli/Main.java
+++ b/src/main/java/org/bulrushwheel/cli/Main.java
@@ -20,6 +20,8 @@
             ControlCommand.class,
             LookupCommand.class,
             StatusCommand.class,
+            DrainCommand.class,
+            OperatorCommand.class,
             UpstreamCommand.class,
             MeasureCommand.class,
             AutoComplete.GenerateCompletion.class
--- a/src/main/java/org/bulrushwheel/control/ControlClient.java
+++ b/src/main/java/org/bulrushwheel/control/ControlClient.java
@@ -14,6 +14,8 @@
 import org.bulrushwheel.model.proto.CommandResult;
 import org.bulrushwheel.model.proto.Frame;
 import org.bulrushwheel.model.proto.Proposal;
+import org.bulrushwheel.model.proto.ReadAnswer;
+import org.bulrushwheel.model.proto.ReadRequest;
 import org.bulrushwheel.model.settings.Settings;
 import org.bulrushwheel.wire.PeerNetwork;
 
@@ -70,46 +72,61 @@
      * @param timeoutMillis how long to try; the answer says NO_QUORUM when no outcome is known by then
      */
     public CompletableFuture<CommandResult> propose(Command command, long timeoutMillis) {
+        Frame frame = Frame.newBuilder()
+                .setProposal(Proposal.newBuilder().setCommand(command))
+                .build();
+        return ask(frame, timeoutMillis).thenApply(answer -> answer.map(Frame::getCommandResult)
+                .orElse(CommandResult.newBuilder()
+                        .setKind(CommandResult.Kind.NO_QUORUM)
+                        .build()));
+    }
+
+    /** Reads from a leader that a majority confirms; empty when there is none by the timeout. */
+    public CompletableFuture<Optional<ReadAnswer>> read(ReadRequest request, long timeoutMillis) {
+        Frame frame = Frame.newBuilder().setReadRequest(request).build();
+        return ask(frame, timeoutMillis).thenApply(answer -> answer.map(Frame::getReadAnswer));
+    }
+
+    private CompletableFuture<Optional<Frame>> ask(Frame frame, long timeoutMillis) {
         long deadlineMillis = time.monotonicMillis() + timeoutMillis;
         if (replicas.isEmpty()) {
-            return CompletableFuture.completedFuture(noQuorum());
+            return CompletableFuture.completedFuture(Optional.empty());
         }
-        return attempt(command, leader, deadlineMillis);
+        return attempt(frame, leader, deadlineMillis);
     }
 
-    private CompletableFuture<CommandResult> attempt(Command command, String target, long deadlineMillis) {
+    private CompletableFuture<Optional<Frame>> attempt(Frame frame, String target, long deadlineMillis) {
         long remainingMillis = deadlineMillis - time.monotonicMillis();
         if (remainingMillis <= 0) {
             metrics.counter("control.proposals.no-quorum").inc();
-            return CompletableFuture.completedFuture(noQuorum());
+            return CompletableFuture.completedFuture(Optional.empty());
         }
-        Frame.Builder frame =
-                Frame.newBuilder().setProposal(Proposal.newBuilder().setCommand(command));
-        return peers.call(target, frame, Math.min(TRY_TIMEOUT_MILLIS, remainingMillis))
-                .handle((answer, error) -> Optional.ofNullable(answer).map(Frame::getCommandResult))
-                .thenCompose(result -> conclude(command, target, result, deadlineMillis));
+        return peers.call(target, frame.toBuilder(), Math.min(TRY_TIMEOUT_MILLIS, remainingMillis))
+                .handle((answer, error) -> Optional.ofNullable(answer))
+                .thenCompose(answer -> conclude(frame, target, answer, deadlineMillis));
     }
 
-    private CompletableFuture<CommandResult> conclude(
-            Command command, String target, Optional<CommandResult> result, long deadlineMillis) {
-        if (result.isPresent() && result.get().getKind() != CommandResult.Kind.NOT_LEADER) {
+    private CompletableFuture<Optional<Frame>> conclude(
+            Frame frame, String target, Optional<Frame> answer, long deadlineMillis) {
+        boolean notLeader = answer.map(Frame::getCommandResult)
+                .filter(result -> result.getKind() == CommandResult.Kind.NOT_LEADER)
+                .isPresent();
+        if (answer.isPresent() && !notLeader) {
             leader = target;
-            return CompletableFuture.completedFuture(result.get());
+            return CompletableFuture.completedFuture(answer);
         }
-        metrics.counter(result.isPresent() ? "control.retries.not-leader" : "control.retries.unreachable")
+        metrics.counter(notLeader ? "control.retries.not-leader" : "control.retries.unreachable")
                 .inc();
-        String hint = result.map(CommandResult::getLeader).orElse("");
+        String hint = answer.map(
+                        frameOfAnswer -> frameOfAnswer.getCommandResult().getLeader())
+                .orElse("");
         String next = hint.isEmpty() || hint.equals(target) ? after(target) : hint;
         Executor pause = CompletableFuture.delayedExecutor(RETRY_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
         return CompletableFuture.supplyAsync(() -> next, pause)
-                .thenCompose(target2 -> attempt(command, target2, deadlineMillis));
+                .thenCompose(nextTarget -> attempt(frame, nextTarget, deadlineMillis));
     }
 
     private String after(String target) {
         return replicas.get((replicas.indexOf(target) + 1) % replicas.size());
     }
-
-    private static CommandResult noQuorum() {
-        return CommandResult.newBuilder().setKind(CommandResult.Kind.NO_QUORUM).build();
-    }
 }
--- a/src/main/java/org/bulrushwheel/control/ControlService.java
+++ b/src/main/java/org/bulrushwheel/control/ControlService.java
@@ -34,6 +34,8 @@
 import org.bulrushwheel.model.proto.JoinRequest;
 import org.bulrushwheel.model.proto.LogEntry;
 import org.bulrushwheel.model.proto.RaftMessage;
+import org.bulrushwheel.model.proto.ReadAnswer;
+import org.bulrushwheel.model.proto.ReadRequest;
 import org.bulrushwheel.model.proto.SnapshotFile;
 import org.bulrushwheel.model.proto.Voters;
 import org.bulrushwheel.model.settings.Settings;
@@ -73,6 +75,7 @@
     private final ControlState state = new ControlState();
     private final Thread thread = new Thread(this::run, "control");
 
+    private volatile ConfirmedFetchListener fetchListener = (asker, haveVersion, newestVersion) -> {};
     private @Nullable RaftNode node;
     private @Nullable ReplicaStorage storage;
     private String replica = "";
@@ -97,6 +100,11 @@
         peers.handle(Frame.BodyCase.PROPOSAL, (frame, reply) -> propose(
                         frame.getProposal().getCommand())
                 .thenAccept(result -> reply.accept(Frame.newBuilder().setCommandResult(result))));
+        peers.handle(Frame.BodyCase.READ_REQUEST, (frame, reply) -> read(state ->
+                        answerRead(state, frame.getReadRequest()))
+                .thenAccept(answer -> answer.ifPresentOrElse(
+                        found -> reply.accept(Frame.newBuilder().setReadAnswer(found)),
+                        () -> reply.accept(Frame.newBuilder().setCommandResult(PendingProposals.notLeader())))));
         peers.handle(
                 Frame.BodyCase.JOIN_REQUEST,
                 (frame, reply) -> inbox.add(() -> onJoin(frame.getJoinRequest().getReplica())));
@@ -124,6 +132,18 @@
         listeners.add(listener);
     }
 
+    /** Sets who answers a fetch once a majority has confirmed that this replica leads. */
+    public void onConfirmedFetch(ConfirmedFetchListener listener) {
+        fetchListener = listener;
+    }
+
+    /** Takes a fetch that only a confirmed leader may answer. */
+    public void confirmFetch(String asker, long haveVersion) {
+        read(state -> state.current().version())
+                .thenAccept(
+                        version -> version.ifPresent(newest -> fetchListener.onConfirmed(asker, haveVersion, newest)));
+    }
+
     /** Returns the state of the replica, as of its last batch. */
     public ReplicaStatus status() {
         return status;
@@ -244,6 +264,15 @@
         }
     }
 
+    private static ReadAnswer answerRead(ControlState state, ReadRequest request) {
+        ReadAnswer.Builder answer = ReadAnswer.newBuilder();
+        state.operatorByTokenSha256(request.getTokenSha256()).ifPresent(answer::addOperators);
+        if (request.getHistory()) {
+            answer.addAllHistory(state.history());
+        }
+        return answer.build();
+    }
+
     private void answerRead(long readId) {
         Runnable read = pendingReads.remove(readId);
         if (read != null) {
--- a/src/main/java/org/bulrushwheel/daemon/Daemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/Daemon.java
@@ -8,13 +8,14 @@
 import org.bulrushwheel.control.ControlClient;
 import org.bulrushwheel.control.ControlService;
 import org.bulrushwheel.kernel.Kernel;
+import org.bulrushwheel.logic.raft.RaftRole;
 import org.bulrushwheel.logic.time.SystemTimeSource;
 import org.bulrushwheel.logic.time.TimeSource;
 import org.bulrushwheel.model.settings.Settings;
 import org.bulrushwheel.server.HttpAnswers;
 import org.bulrushwheel.server.HttpService;
 import org.bulrushwheel.server.admin.AdminHandler;
-import org.bulrushwheel.server.admin.RootTokenAuthorizer;
+import org.bulrushwheel.server.admin.Authorizer;
 import org.bulrushwheel.server.caps.ShiftCapService;
 import org.bulrushwheel.server.configuration.ConfigurationService;
 import org.bulrushwheel.server.gateway.GatewayHandler;
@@ -50,7 +51,7 @@
     public Daemon(Settings settings, int ioThreads) {
         this.settings = settings;
         PeerNetwork peers = kernel.register(new PeerNetwork(settings, metrics));
-        ConfigurationService configuration = kernel.register(new ConfigurationService(settings, peers, metrics));
+        ConfigurationService configuration = kernel.register(new ConfigurationService(settings, peers, time, metrics));
         Optional<ControlService> control = registerControl(peers, configuration);
         ControlClient client = kernel.register(new ControlClient(settings, peers, time, metrics));
         UpstreamService upstreams = kernel.register(new UpstreamService(settings, peers, time, metrics));
@@ -61,6 +62,7 @@
                 time,
                 () -> configuration.current().version(),
                 metrics));
+        membership.onConfigurationVersion(configuration::onNeighbourVersion);
         SlotService slots = kernel.register(new SlotService(
                 settings, incarnation, peers, membership, upstreams, configuration::current, time, metrics));
         ShiftCapService caps = kernel.register(new ShiftCapService(
@@ -73,13 +75,10 @@
         LookupHandler lookup = new LookupHandler(settings.zone(), membership::serving, time, answers, metrics);
         configuration.onChange(lookup::configure);
         http.handleExact(LookupHandler.PATH, lookup);
-        http.handleExact(
-                AdminHandler.CONFIGURATION_PATH,
-                new AdminHandler(
-                        client,
-                        new RootTokenAuthorizer(settings.administrationTokenSha256()),
-                        configuration::current,
-                        answers));
+        Authorizer authorizer = new Authorizer(settings.administrationTokenSha256(), client);
+        new AdminHandler(client, authorizer, configuration::current, time, answers)
+                .handlers()
+                .forEach(http::handleExact);
         http.handle(
                 GatewayHandler.PREFIX,
                 new GatewayHandler(
@@ -148,6 +147,9 @@
         ControlService control =
                 kernel.register(new ControlService(settings, peers, time, RandomGenerator.getDefault(), metrics));
         control.onAccepted(configuration::accepted);
+        configuration.setConfirmer(control::confirmFetch);
+        control.onConfirmedFetch(configuration::answerConfirmed);
+        configuration.setLeads(() -> control.status().role() == RaftRole.LEADER);
         return Optional.of(control);
     }
 
--- a/src/main/java/org/bulrushwheel/logic/config/ConfigurationCodec.java
+++ b/src/main/java/org/bulrushwheel/logic/config/ConfigurationCodec.java
@@ -14,6 +14,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import io.vavr.control.Either;
+import org.bulrushwheel.model.config.VersionedConfiguration;
 
 /**
  * Reads and writes TOML documents. The same value always gives the same bytes.
@@ -53,6 +54,13 @@
         return writer.writeToString(config).replace("\r\n", "\n").strip() + "\n";
     }
 
+    /** Returns the document of a configuration, written anew where it was made from changes. */
+    public static String documentOf(VersionedConfiguration configuration) {
+        boolean written =
+                configuration.version() == 0 || !configuration.document().isEmpty();
+        return written ? configuration.document() : write(configuration.configuration());
+    }
+
     private static Config toConfig(JsonNode object) {
         Map<String, Object> values = new LinkedHashMap<>();
         object.fields().forEachRemaining(field -> values.put(field.getKey(), toValue(field.getValue())));
--- a/src/main/java/org/bulrushwheel/logic/control/ControlState.java
+++ b/src/main/java/org/bulrushwheel/logic/control/ControlState.java
@@ -5,8 +5,10 @@
 import java.util.Map;
 import java.util.Optional;
 
+import io.vavr.control.Either;
 import org.bulrushwheel.logic.config.ConfigurationChecker;
 import org.bulrushwheel.logic.config.ConfigurationCodec;
+import org.bulrushwheel.logic.config.ConfigurationDelta;
 import org.bulrushwheel.logic.config.ShiftCalendar;
 import org.bulrushwheel.logic.ledger.RunLedgerState;
 import org.bulrushwheel.model.config.Configuration;
@@ -76,7 +78,7 @@
     public ControlSnapshot snapshot() {
         return ControlSnapshot.newBuilder()
                 .setVersion(current.version())
-                .setDocument(current.document())
+                .setDocument(ConfigurationCodec.documentOf(current))
                 .addAllKeys(ledger.records())
                 .addAllChanges(changes.values())
                 .addAllOperators(operators.values())
@@ -90,7 +92,7 @@
         changes.clear();
         snapshot.getChangesList().forEach(change -> changes.put(change.getChangeId(), change));
         operators.clear();
-        snapshot.getOperatorsList().forEach(operator -> operators.put(operator.getName(), operator));
+        snapshot.getOperatorsList().forEach(operator -> operators.put(keyOf(operator), operator));
     }
 
     private static VersionedConfiguration read(long version, String document) {
@@ -115,12 +117,19 @@
         if (outsideBreak.isPresent()) {
             return outsideBreak.get();
         }
-        return ConfigurationCodec.read(change.getDocument(), Configuration.class)
+        return read(change)
                 .fold(
                         fault -> result(CommandResult.Kind.INVALID, fault).build(),
                         configuration -> acceptChecked(command, configuration));
     }
 
+    private Either<String, Configuration> read(AcceptConfiguration change) {
+        return change.getDocument().isEmpty()
+                ? new ConfigurationDelta(change.getUpsertsList(), change.getRemovalsList())
+                        .applyTo(current.configuration())
+                : ConfigurationCodec.read(change.getDocument(), Configuration.class);
+    }
+
     private CommandResult acceptChecked(Command command, Configuration configuration) {
         List<String> faults = ConfigurationChecker.check(configuration);
         if (!faults.isEmpty()) {
@@ -152,11 +161,16 @@
     }
 
     private CommandResult putOperator(Command command) {
-        operators.put(command.getPutOperator().getName(), command.getPutOperator());
+        operators.put(keyOf(command.getPutOperator()), command.getPutOperator());
         return remember(
                 command, result(CommandResult.Kind.DONE, "operator stored").build());
     }
 
+    /** Names of operators are unique in their team only. */
+    private static String keyOf(PutOperator operator) {
+        return operator.getTeam() + "/" + operator.getName();
+    }
+
     private CommandResult remember(Command command, CommandResult decided) {
         changes.put(
                 command.getChangeId(),
--- a/src/main/java/org/bulrushwheel/logic/steering/ServiceSlots.java
+++ b/src/main/java/org/bulrushwheel/logic/steering/ServiceSlots.java
@@ -34,6 +34,7 @@
     private final Map<String, ZoneSlots> zones = new LinkedHashMap<>();
     private final Deque<Waiting> queue = new ArrayDeque<>();
     private Comparator<String> order = Comparator.naturalOrder();
+    private long settledSinceMillis = Long.MAX_VALUE;
 
     /**
      * A queue without requests.
@@ -222,24 +223,44 @@
     }
 
     private void refuseOverdue(List<SlotAction> actions, long nowMillis) {
-        boolean anyOwner = zones.values().stream()
-                .map(ZoneSlots::holder)
-                .anyMatch(
-                        holder -> holder.isOpen(nowMillis) && holder.capacity().orElse(0) > 0);
-        RefusalReason reason = anyOwner ? RefusalReason.CAPACITY_EXHAUSTED : RefusalReason.NO_UPSTREAM;
-        long maxWaitMillis = anyOwner ? timings.maxWaitMillis() : timings.ownerWaitMillis();
+        boolean settled = isSettled(nowMillis);
+        if (!settled) {
+            settledSinceMillis = Long.MAX_VALUE;
+        } else if (settledSinceMillis == Long.MAX_VALUE) {
+            settledSinceMillis = nowMillis;
+        }
         for (Iterator<Waiting> each = queue.iterator(); each.hasNext(); ) {
             Waiting request = each.next();
             if (nowMillis >= request.deadlineMillis()) {
                 each.remove();
                 actions.add(new SlotAction.Refuse(request.requestId(), RefusalReason.DEADLINE_EXCEEDED));
-            } else if (nowMillis - request.submittedMillis() >= maxWaitMillis) {
+            } else if (hasWaitedTooLong(request, settled, nowMillis)) {
                 each.remove();
+                RefusalReason reason = settled ? RefusalReason.CAPACITY_EXHAUSTED : RefusalReason.NO_UPSTREAM;
                 actions.add(new SlotAction.Refuse(request.requestId(), reason));
             }
         }
     }
 
+    /** Whether an owner that has slots has answered: the own zone's, or any other when the own zone has none. */
+    private boolean isSettled(long nowMillis) {
+        SlotPoolHolder own = ownZone().holder();
+        if (own.capacity().orElse(1) > 0) {
+            return own.isOpen(nowMillis);
+        }
+        return zones.values().stream()
+                .map(ZoneSlots::holder)
+                .anyMatch(
+                        holder -> holder.isOpen(nowMillis) && holder.capacity().orElse(0) > 0);
+    }
+
+    private boolean hasWaitedTooLong(Waiting request, boolean settled, long nowMillis) {
+        if (!settled) {
+            return nowMillis - request.submittedMillis() >= timings.ownerWaitMillis();
+        }
+        return nowMillis - Math.max(request.submittedMillis(), settledSinceMillis) >= timings.maxWaitMillis();
+    }
+
     /** Every zone has said that it has no endpoint: nothing is worth waiting for. */
     private void refuseWithoutUpstream(List<SlotAction> actions) {
         boolean none = zones.values().stream()
--- a/src/main/java/org/bulrushwheel/model/config/VersionedConfiguration.java
+++ b/src/main/java/org/bulrushwheel/model/config/VersionedConfiguration.java
@@ -7,7 +7,7 @@
  *
  * @param version accepted version
  * @param configuration the content
- * @param document the accepted document
+ * @param document the accepted document; empty where the configuration was made from changes
  */
 public record VersionedConfiguration(long version, Configuration configuration, String document) {
     /** What an instance has before it has heard of any accepted configuration. */
--- a/src/main/java/org/bulrushwheel/server/admin/Authorizer.java
+++ b/src/main/java/org/bulrushwheel/server/admin/Authorizer.java
@@ -1,11 +1,59 @@
 package org.bulrushwheel.server.admin;
 
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import org.bulrushwheel.control.ControlClient;
+import org.bulrushwheel.model.proto.PutOperator;
+import org.bulrushwheel.model.proto.ReadAnswer;
+import org.bulrushwheel.model.proto.ReadRequest;
+import org.jspecify.annotations.Nullable;
 
-/** Tells operators by their bearer tokens. Implementations are thread safe. */
-public interface Authorizer {
-    /** Returns the name of the operator whose token the request carries. */
-    Optional<String> operatorOf(HttpServerExchange exchange);
+/**
+ * Tells operators by their bearer tokens: the first operator by the hash in the settings, others by a confirmed read of
+ * the control state, so that a revoked token ends everywhere at once.
+ *
+ * <p>Thread safe.
+ */
+public final class Authorizer {
+    private static final String BEARER = "Bearer ";
+    private static final String ROOT_OPERATOR = "root";
+    private static final long READ_TIMEOUT_MILLIS = 3_000;
+
+    private final Optional<String> rootTokenSha256;
+    private final ControlClient control;
+
+    /** An authorizer; without a root hash only operators of the control state are known. */
+    public Authorizer(@Nullable String rootTokenSha256, ControlClient control) {
+        this.rootTokenSha256 = Optional.ofNullable(rootTokenSha256);
+        this.control = control;
+    }
+
+    /** Finds the operator whose token the request carries. */
+    public CompletableFuture<Optional<Operator>> operatorOf(HttpServerExchange exchange) {
+        Optional<String> hash = Optional.ofNullable(exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION))
+                .filter(value -> value.startsWith(BEARER))
+                .map(value -> Tokens.sha256(value.substring(BEARER.length())));
+        if (hash.isEmpty()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        if (rootTokenSha256.filter(root -> Tokens.same(root, hash.get())).isPresent()) {
+            return CompletableFuture.completedFuture(
+                    Optional.of(new Operator(ROOT_OPERATOR, Optional.empty(), Operator.Role.ADMINISTRATOR)));
+        }
+        ReadRequest request =
+                ReadRequest.newBuilder().setTokenSha256(hash.get()).build();
+        return control.read(request, READ_TIMEOUT_MILLIS).thenApply(answer -> answer.flatMap(Authorizer::toOperator));
+    }
+
+    private static Optional<Operator> toOperator(ReadAnswer answer) {
+        return answer.getOperatorsList().stream().findFirst().map(Authorizer::toOperator);
+    }
+
+    private static Operator toOperator(PutOperator stored) {
+        Optional<String> team = Optional.of(stored.getTeam()).filter(name -> !name.isEmpty());
+        return new Operator(stored.getName(), team, Operator.Role.valueOf(stored.getRole()));
+    }
 }
--- a/src/main/java/org/bulrushwheel/server/configuration/ConfigurationService.java
+++ b/src/main/java/org/bulrushwheel/server/configuration/ConfigurationService.java
@@ -1,17 +1,22 @@
 package org.bulrushwheel.server.configuration;
 
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import org.bulrushwheel.kernel.KernelService;
-import org.bulrushwheel.logic.config.ConfigurationCodec;
-import org.bulrushwheel.model.config.Configuration;
+import org.bulrushwheel.logic.config.ConfigurationInForce;
+import org.bulrushwheel.logic.membership.RendezvousHash;
+import org.bulrushwheel.logic.time.TimeSource;
 import org.bulrushwheel.model.config.VersionedConfiguration;
 import org.bulrushwheel.model.instance.Instance;
 import org.bulrushwheel.model.proto.ConfigurationFetch;
@@ -23,34 +28,53 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Holds the configuration in force.
+ * Holds the configuration in force and passes news on: control tells two instances of each zone, and whoever hears
+ * something new from outside its zone tells its zone.
  *
- * <p>Invariant: the version never goes down while the process runs. Thread safe.
+ * <p>Invariant: the version in force never goes down while the process runs. Thread safe.
  */
 public final class ConfigurationService implements KernelService {
     /** Name in the kernel. */
     public static final String NAME = "configuration";
 
     private static final Logger LOGGER = LoggerFactory.getLogger(ConfigurationService.class);
-    private static final long POLL_MILLIS = 500;
+    private static final String RELAY_KEY = "relay";
+    private static final int RELAYS_TOLD = 2;
+    private static final long GRACE_MILLIS = 4_000;
+    private static final long FIRST_POLL_MILLIS = 200;
+    private static final long POLL_MILLIS = 1_000;
 
     private final Settings settings;
     private final PeerNetwork peers;
+    private final TimeSource time;
     private final MetricRegistry metrics;
+    private final ConfigurationInForce configuration;
     private final List<Consumer<VersionedConfiguration>> listeners = new CopyOnWriteArrayList<>();
+    private final List<String> zonePeers;
+    private final List<String> controlPeers;
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(
             new io.netty.util.concurrent.DefaultThreadFactory("configuration"));
     private volatile VersionedConfiguration current = VersionedConfiguration.NONE;
-    private int nextSource;
+    private volatile BooleanSupplier leads = () -> false;
+    private volatile BiConsumer<String, Long> confirmer = (asker, haveVersion) -> {};
+    private int nextControl;
+    private long nextPollMillis;
 
     /** A service that follows the control instances and peers of the settings. */
-    public ConfigurationService(Settings settings, PeerNetwork peers, MetricRegistry metrics) {
+    public ConfigurationService(Settings settings, PeerNetwork peers, TimeSource time, MetricRegistry metrics) {
         this.settings = settings;
         this.peers = peers;
+        this.time = time;
         this.metrics = metrics;
+        this.configuration = new ConfigurationInForce(time.monotonicMillis() + GRACE_MILLIS);
+        this.zonePeers = namesOf(peer -> peer.zone().equals(settings.zone()));
+        this.controlPeers = settings.instances().stream()
+                .filter(Instance::control)
+                .map(Instance::name)
+                .toList();
         metrics.register("configuration.version", (Gauge<Long>) () -> current.version());
-        peers.handle(Frame.BodyCase.CONFIGURATION_UPDATE, (frame, reply) -> onUpdate(frame.getConfigurationUpdate()));
-        peers.handle(Frame.BodyCase.CONFIGURATION_FETCH, this::onFetch);
+        peers.handle(Frame.BodyCase.CONFIGURATION_UPDATE, (frame, reply) -> onUpdate(frame));
+        peers.handle(Frame.BodyCase.CONFIGURATION_FETCH, (frame, reply) -> onFetch(frame));
     }
 
     @Override
@@ -60,7 +84,7 @@
 
     @Override
     public void start() {
-        timer.scheduleWithFixedDelay(this::poll, 0, POLL_MILLIS, TimeUnit.MILLISECONDS);
+        timer.scheduleWithFixedDelay(this::poll, 0, FIRST_POLL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -78,60 +102,170 @@
         listeners.add(listener);
     }
 
-    /** Takes a configuration that control accepted and tells the peers; an older one changes nothing. */
-    public void accepted(VersionedConfiguration offered) {
-        if (apply(offered)) {
-            Frame.Builder update = Frame.newBuilder().setConfigurationUpdate(toUpdate(offered));
-            settings.peers().forEach(peer -> peers.send(peer.name(), update.clone()));
+    /** Sets what tells whether the replica of this instance leads; the leader tells the other zones. */
+    public void setLeads(BooleanSupplier newLeads) {
+        leads = newLeads;
+    }
+
+    /** Sets who handles fetches that only a confirmed leader may answer. */
+    public void setConfirmer(BiConsumer<String, Long> newConfirmer) {
+        confirmer = newConfirmer;
+    }
+
+    /** Takes a configuration that the replica of this instance has applied. */
+    public void accepted(VersionedConfiguration accepted) {
+        long before = take(accepted);
+        if (before < accepted.version()) {
+            tell(zonePeers, before);
+            if (leads.getAsBoolean()) {
+                tell(relays(), before);
+            }
+        }
+    }
+
+    /** Takes the version that a zone neighbour reports; a newer one is fetched. */
+    public void onNeighbourVersion(String neighbour, long version) {
+        if (version > known()) {
+            fetch(neighbour, false);
+        }
+    }
+
+    /** Sends what this instance knows to an asker whose question a majority has confirmed. */
+    public void answerConfirmed(String asker, long haveVersion, long newestVersion) {
+        ConfigurationUpdate.Builder update;
+        synchronized (configuration) {
+            update = configuration
+                    .updateFrom(haveVersion)
+                    .map(ConfigurationUpdate::toBuilder)
+                    .orElseGet(ConfigurationUpdate::newBuilder);
+        }
+        if (update.getToVersion() == 0) {
+            update.setToVersion(newestVersion);
+        }
+        peers.send(asker, Frame.newBuilder().setConfigurationUpdate(update.setConfirmed(true)));
+    }
+
+    /** Returns the version known before. */
+    private long take(VersionedConfiguration offered) {
+        long before;
+        synchronized (configuration) {
+            before = configuration.knownVersion();
+            configuration.offer(offered, time.monotonicMillis());
+        }
+        publish();
+        return before;
+    }
+
+    private void publish() {
+        VersionedConfiguration now;
+        synchronized (configuration) {
+            now = configuration.current();
+            if (now.version() <= current.version()) {
+                return;
+            }
+            current = now;
+        }
+        LOGGER.info("configuration in force version={}", now.version());
+        listeners.forEach(listener -> listener.accept(now));
+    }
+
+    private void onUpdate(Frame frame) {
+        ConfigurationUpdate update = frame.getConfigurationUpdate();
+        long before = known();
+        if (update.getToVersion() > before) {
+            read(frame.getSender(), update);
+        }
+        if (update.getConfirmed()) {
+            synchronized (configuration) {
+                configuration.confirm(update.getToVersion(), time.monotonicMillis());
+            }
+            publish();
+        }
+        boolean fromOutside = !zonePeers.contains(frame.getSender());
+        if (known() > before && fromOutside) {
+            tell(zonePeers, before);
         }
     }
 
-    private synchronized boolean apply(VersionedConfiguration offered) {
-        if (offered.version() <= current.version()) {
-            return false;
+    private void read(String sender, ConfigurationUpdate update) {
+        synchronized (configuration) {
+            configuration
+                    .read(update)
+                    .peek(offered -> configuration.offer(offered, time.monotonicMillis()))
+                    .peekLeft(reason -> {
+                        metrics.counter("configuration.updates.not-applied").inc();
+                        fetch(sender, false);
+                    });
         }
-        current = offered;
-        LOGGER.info("configuration in force version={}", offered.version());
-        listeners.forEach(listener -> listener.accept(offered));
-        return true;
+        publish();
     }
 
-    private void onUpdate(ConfigurationUpdate update) {
-        if (update.getToVersion() <= current.version()) {
+    private void onFetch(Frame frame) {
+        if (frame.getConfigurationFetch().getConfirm()) {
+            confirmer.accept(frame.getSender(), frame.getConfigurationFetch().getHaveVersion());
             return;
         }
-        ConfigurationCodec.read(update.getDocument(), Configuration.class)
-                .peek(configuration ->
-                        apply(new VersionedConfiguration(update.getToVersion(), configuration, update.getDocument())))
-                .peekLeft(fault -> {
-                    metrics.counter("configuration.updates.unreadable").inc();
-                    LOGGER.warn("configuration version={} cannot be read: {}", update.getToVersion(), fault);
-                });
+        synchronized (configuration) {
+            configuration
+                    .updateFrom(frame.getConfigurationFetch().getHaveVersion())
+                    .ifPresent(update ->
+                            peers.send(frame.getSender(), Frame.newBuilder().setConfigurationUpdate(update)));
+        }
     }
 
-    private void onFetch(Frame frame, Consumer<Frame.Builder> reply) {
-        if (frame.getConfigurationFetch().getHaveVersion() < current.version()) {
-            peers.send(frame.getSender(), Frame.newBuilder().setConfigurationUpdate(toUpdate(current)));
+    private void tell(List<String> instances, long fromVersion) {
+        synchronized (configuration) {
+            configuration.updateFrom(fromVersion).ifPresent(update -> {
+                metrics.meter("configuration.updates.sent").mark(instances.size());
+                instances.forEach(name -> peers.send(name, Frame.newBuilder().setConfigurationUpdate(update)));
+            });
         }
     }
 
-    /** Asks one peer in turn for anything newer, so that lost updates heal. */
+    /** Until something is in force everybody is asked; then each instance asks one control instance now and then. */
     private void poll() {
-        List<Instance> sources = settings.peers();
-        if (sources.isEmpty()) {
-            return;
+        boolean waiting;
+        synchronized (configuration) {
+            waiting = configuration.awaitsConfirmation(time.monotonicMillis());
         }
-        Instance source = sources.get(nextSource++ % sources.size());
+        publish();
+        long now = time.monotonicMillis();
+        if (waiting) {
+            controlPeers.forEach(name -> fetch(name, true));
+            zonePeers.forEach(name -> fetch(name, false));
+        } else if (now >= nextPollMillis && !controlPeers.isEmpty()) {
+            nextPollMillis = now + POLL_MILLIS * Math.max(1, zonePeers.size());
+            fetch(controlPeers.get(nextControl++ % controlPeers.size()), false);
+        }
+    }
+
+    private void fetch(String instance, boolean confirm) {
         peers.send(
-                source.name(),
+                instance,
                 Frame.newBuilder()
-                        .setConfigurationFetch(ConfigurationFetch.newBuilder().setHaveVersion(current.version())));
+                        .setConfigurationFetch(ConfigurationFetch.newBuilder()
+                                .setHaveVersion(known())
+                                .setConfirm(confirm)));
+    }
+
+    private long known() {
+        synchronized (configuration) {
+            return configuration.knownVersion();
+        }
+    }
+
+    private List<String> relays() {
+        Map<String, List<String>> byZone = settings.peers().stream()
+                .filter(peer -> !peer.zone().equals(settings.zone()))
+                .collect(
+                        Collectors.groupingBy(Instance::zone, Collectors.mapping(Instance::name, Collectors.toList())));
+        return byZone.values().stream()
+                .flatMap(names ->
+                        RendezvousHash.ranked(RELAY_KEY, names).stream().limit(RELAYS_TOLD))
+                .toList();
     }
 
-    private static ConfigurationUpdate toUpdate(VersionedConfiguration configuration) {
-        return ConfigurationUpdate.newBuilder()
-                .setToVersion(configuration.version())
-                .setDocument(configuration.document())
-                .build();
+    private List<String> namesOf(java.util.function.Predicate<Instance> which) {
+        return settings.peers().stream().filter(which).map(Instance::name).toList();
     }
 }
--- a/src/main/java/org/bulrushwheel/server/lookup/LookupHandler.java
+++ b/src/main/java/org/bulrushwheel/server/lookup/LookupHandler.java
@@ -38,7 +38,7 @@
     private final TimeSource time;
     private final HttpAnswers answers;
     private final Meter lookups;
-    private volatile Tables tables = Tables.of(VersionedConfiguration.NONE);
+    private volatile Tables tables = Tables.NONE;
 
     /** A handler that answers with these instances. */
     public LookupHandler(
@@ -55,11 +55,22 @@
     }
 
     private record Tables(VersionedConfiguration configuration, EntrySelector selector, ClientBlockTable blocks) {
-        static Tables of(VersionedConfiguration configuration) {
+        static final Tables NONE = new Tables(
+                VersionedConfiguration.NONE,
+                new EntrySelector(VersionedConfiguration.NONE.configuration()),
+                ClientBlockTable.of(List.of()));
+
+        /** The table of blocks is built anew only when the blocks have changed. */
+        Tables with(VersionedConfiguration newer) {
+            boolean sameBlocks = newer.configuration()
+                    .clientBlocks()
+                    .equals(configuration.configuration().clientBlocks());
             return new Tables(
-                    configuration,
-                    new EntrySelector(configuration.configuration()),
-                    ClientBlockTable.of(configuration.configuration().clientBlocks()));
+                    newer,
+                    new EntrySelector(newer.configuration()),
+                    sameBlocks
+                            ? blocks
+                            : ClientBlockTable.of(newer.configuration().clientBlocks()));
         }
     }
 
@@ -83,8 +94,8 @@
     public record Answer(String service, long configurationVersion, long cacheUntilEpochMillis, List<Entry> entries) {}
 
     /** Takes a new configuration. */
-    public void configure(VersionedConfiguration configuration) {
-        tables = Tables.of(configuration);
+    public synchronized void configure(VersionedConfiguration configuration) {
+        tables = tables.with(configuration);
     }
 
     @Override
--- a/src/main/java/org/bulrushwheel/server/membership/MembershipService.java
+++ b/src/main/java/org/bulrushwheel/server/membership/MembershipService.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 
@@ -52,6 +53,7 @@
     private final Map<String, ZoneSummary> summaries = new ConcurrentHashMap<>();
     private final ScheduledExecutorService timer =
             Executors.newSingleThreadScheduledExecutor(new io.netty.util.concurrent.DefaultThreadFactory("membership"));
+    private volatile BiConsumer<String, Long> versionListener = (neighbour, version) -> {};
     private Set<String> lastAlive = Set.of();
     private long nextSummaryMillis;
 
@@ -106,6 +108,11 @@
         timer.execute(this::beat);
     }
 
+    /** Sets who is told the configuration version of each neighbour that is heard. */
+    public void onConfigurationVersion(BiConsumer<String, Long> listener) {
+        versionListener = listener;
+    }
+
     /** Returns what is known of the zone. */
     public MemberView view() {
         synchronized (membership) {
@@ -220,6 +227,7 @@
         synchronized (membership) {
             membership.onHeartbeat(from, heartbeat, time.monotonicMillis());
         }
+        versionListener.accept(from, heartbeat.getConfigurationVersion());
     }
 
     private void onSummary(ZoneSummary summary) {
--- a/src/main/java/org/bulrushwheel/wire/FrameCodec.java
+++ b/src/main/java/org/bulrushwheel/wire/FrameCodec.java
@@ -61,6 +61,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, Frame frame) {
             metrics.meter("peers.frames.received").mark();
+            metrics.meter("peers.bytes.received").mark(LENGTH_FIELD_BYTES + frame.getSerializedSize());
             if (!frame.hasKeepAlive()) {
                 receiver.accept(context, frame);
             }
--- a/src/main/java/org/bulrushwheel/wire/PeerNetwork.java
+++ b/src/main/java/org/bulrushwheel/wire/PeerNetwork.java
@@ -98,8 +98,10 @@
 
     /** Sends a frame without an answer; to this instance itself it is handed over directly. */
     public void send(String peer, Frame.Builder frame) {
+        Frame complete = frame.setSender(self.name()).build();
         metrics.meter("peers.frames.sent").mark();
-        deliver(peer, frame.setSender(self.name()).build());
+        metrics.meter("peers.bytes.sent").mark(complete.getSerializedSize());
+        deliver(peer, complete);
     }
 
     /** Sends a frame and completes with its answer, or exceptionally at the timeout. */
