Measure gateway, look-ups, claims, the log, accepts and control

Change: six measurements; a leader tells its peers once for all that came up since the last ready; a look-up takes time by the length of its answer instead of sorting the whole fleet; address parsing without compiling patterns each time.

--- a/src/main/java/org/bulrushwheel/cli/MeasureCommand.java
+++ b/src/main/java/org/bulrushwheel/cli/MeasureCommand.java
@@ -3,11 +3,18 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 
+import org.bulrushwheel.measure.AcceptMeasurement;
+import org.bulrushwheel.measure.ControlMeasurement;
 import org.bulrushwheel.measure.Figure;
 import org.bulrushwheel.measure.FigureTable;
+import org.bulrushwheel.measure.GatewayMeasurement;
+import org.bulrushwheel.measure.LogMeasurement;
+import org.bulrushwheel.measure.LookupMeasurement;
+import org.bulrushwheel.measure.OnceMeasurement;
 import org.bulrushwheel.measure.steer.SteerDeployment;
 import org.bulrushwheel.measure.steer.SteerMeasurement;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /** Runs measurements. */
@@ -15,7 +22,15 @@
         name = "measure",
         mixinStandardHelpOptions = true,
         description = "Run a measurement and print its table.",
-        subcommands = MeasureCommand.Steer.class)
+        subcommands = {
+            MeasureCommand.Steer.class,
+            MeasureCommand.Gateway.class,
+            MeasureCommand.Lookup.class,
+            MeasureCommand.Once.class,
+            MeasureCommand.Accept.class,
+            MeasureCommand.Log.class,
+            MeasureCommand.Control.class
+        })
 final class MeasureCommand {
     /** Options of every measurement. */
     static final class TableOptions {
@@ -38,7 +53,7 @@
             mixinStandardHelpOptions = true,
             description = "Steering policies on virtual time, against the least reported load.")
     static final class Steer implements Callable<Integer> {
-        @picocli.CommandLine.Mixin
+        @Mixin
         private TableOptions table;
 
         @Option(names = "--deployment", defaultValue = "adwenpa", description = "adwenpa or foerderbruecke.")
@@ -52,4 +67,97 @@
             return table.print(SteerMeasurement.run(SteerDeployment.named(deployment), seed));
         }
     }
+
+    /** Latency that the gateway adds, on loopback. */
+    @Command(
+            name = "gateway",
+            mixinStandardHelpOptions = true,
+            description = "Latency that the gateway adds, on loopback.")
+    static final class Gateway implements Callable<Integer> {
+        @Mixin
+        private TableOptions table;
+
+        @Override
+        public Integer call() {
+            return table.print(GatewayMeasurement.run());
+        }
+    }
+
+    /** Cost of look-ups at several numbers of client blocks. */
+    @Command(
+            name = "lookup",
+            mixinStandardHelpOptions = true,
+            description = "Cost of look-ups at several numbers of client blocks.")
+    static final class Lookup implements Callable<Integer> {
+        @Mixin
+        private TableOptions table;
+
+        @Option(names = "--seed", defaultValue = "1", description = "Seed (${DEFAULT-VALUE}).")
+        private long seed;
+
+        @Override
+        public Integer call() {
+            return table.print(LookupMeasurement.run(seed));
+        }
+    }
+
+    /** What a claim of the run ledger adds, on loopback. */
+    @Command(
+            name = "once",
+            mixinStandardHelpOptions = true,
+            description = "What a claim of the run ledger adds, on loopback.")
+    static final class Once implements Callable<Integer> {
+        @Mixin
+        private TableOptions table;
+
+        @Override
+        public Integer call() {
+            return table.print(OnceMeasurement.run());
+        }
+    }
+
+    /** Time until a configuration is in force on 24 daemons, on loopback. */
+    @Command(
+            name = "accept",
+            mixinStandardHelpOptions = true,
+            description = "Time until a configuration is in force on 24 daemons, on loopback.")
+    static final class Accept implements Callable<Integer> {
+        @Mixin
+        private TableOptions table;
+
+        @Override
+        public Integer call() {
+            return table.print(AcceptMeasurement.run());
+        }
+    }
+
+    /** Synced entries of the replicated log, on loopback. */
+    @Command(
+            name = "log",
+            mixinStandardHelpOptions = true,
+            description = "Synced entries of the replicated log, on loopback.")
+    static final class Log implements Callable<Integer> {
+        @Mixin
+        private TableOptions table;
+
+        @Override
+        public Integer call() {
+            return table.print(LogMeasurement.run());
+        }
+    }
+
+    /** What control costs a daemon at several fleet sizes, on loopback. */
+    @Command(
+            name = "control",
+            mixinStandardHelpOptions = true,
+            description = "What control costs a daemon at several fleet sizes, on loopback.")
+    static final class Control implements Callable<Integer> {
+        @Mixin
+        private TableOptions table;
+
+        @Override
+        public Integer call() {
+            return table.print(ControlMeasurement.run());
+        }
+    }
 }
--- a/src/main/java/org/bulrushwheel/control/ControlService.java
+++ b/src/main/java/org/bulrushwheel/control/ControlService.java
@@ -254,6 +254,8 @@
             if (ready.needsStorage()) {
                 requireStorage().store(ready);
                 metrics.meter("control.log.syncs").mark();
+                ready.entries()
+                        .forEach(entry -> metrics.meter("control.log.bytes").mark(entry.getSerializedSize()));
                 metrics.meter("control.log.entries").mark(ready.entries().size());
             }
             ready.installed().ifPresent(this::restore);
--- a/src/main/java/org/bulrushwheel/local/LocalDeployment.java
+++ b/src/main/java/org/bulrushwheel/local/LocalDeployment.java
@@ -5,8 +5,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 import org.bulrushwheel.client.HttpAnswer;
@@ -30,7 +33,7 @@
  */
 public final class LocalDeployment implements AutoCloseable {
     private static final int IO_THREADS = 2;
-    private static final long SETTLE_MILLIS = 20;
+    private static final long SETTLE_MILLIS = 1;
 
     private final Path folder;
     private final String token = Tokens.generate();
@@ -40,6 +43,7 @@
     private final List<StandInUpstream> upstreams = new ArrayList<>();
     private final List<Announcer> announcers = new ArrayList<>();
     private final RunCounter runs = new RunCounter();
+    private final Set<Integer> killed = new HashSet<>();
 
     private LocalDeployment(Path folder, List<InstancePlan> plans) {
         this.folder = folder;
@@ -99,11 +103,23 @@
         return settings.get(index).httpAddress();
     }
 
-    /** Stops the daemon at this position without a drain and starts it again. */
+    /** Stops the daemon at this position and starts it again. */
     public void restart(int index) {
+        kill(index);
+        startAgain(index);
+    }
+
+    /** Stops the daemon at this position; nobody is told. */
+    public void kill(int index) {
         daemons.get(index).close();
+        killed.add(index);
+    }
+
+    /** Starts the daemon at this position again. */
+    public void startAgain(int index) {
         daemons.set(index, new Daemon(settings.get(index), IO_THREADS));
         daemons.get(index).start();
+        killed.remove(index);
     }
 
     /** Starts a stand-in that announces itself to the instances of its zone. */
@@ -136,7 +152,9 @@
 
     /** Waits until a version is in force on every instance; false when it is not by the deadline. */
     public boolean awaitVersion(long version, long deadlineNanos) {
-        return daemons.stream()
+        return IntStream.range(0, daemons.size())
+                .filter(index -> !killed.contains(index))
+                .mapToObj(daemons::get)
                 .allMatch(daemon -> await(() -> daemon.configurationVersion() >= version, deadlineNanos));
     }
 
@@ -159,7 +177,11 @@
     @Override
     public void close() {
         announcers.forEach(Announcer::close);
-        daemons.forEach(Daemon::close);
+        for (int index = 0; index < daemons.size(); index++) {
+            if (!killed.contains(index)) {
+                daemons.get(index).close();
+            }
+        }
         upstreams.forEach(StandInUpstream::close);
         deleteFolder();
     }
--- a/src/main/java/org/bulrushwheel/logic/config/CidrPrefix.java
+++ b/src/main/java/org/bulrushwheel/logic/config/CidrPrefix.java
@@ -3,6 +3,7 @@
 import java.net.InetAddress;
 import java.net.UnknownHostException;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /**
  * An address prefix.
@@ -10,6 +11,10 @@
  * <p>Immutable and thread safe; the address bytes are not shared.
  */
 public final class CidrPrefix {
+    private static final Pattern PREFIX = Pattern.compile("[0-9a-fA-F.:]+/[0-9]{1,3}");
+    private static final Pattern IPV4 = Pattern.compile("[0-9]{1,3}[.][0-9]{1,3}[.][0-9]{1,3}[.][0-9]{1,3}");
+    private static final Pattern IPV6 = Pattern.compile("[0-9a-fA-F.]*:[0-9a-fA-F.:]+");
+
     private final byte[] address;
     private final int lengthBits;
 
@@ -20,7 +25,7 @@
 
     /** Parses {@code address/bits}; none when the text is no prefix of a literal address. */
     public static Optional<CidrPrefix> parse(String text) {
-        if (text == null || !text.matches("[0-9a-fA-F.:]+/[0-9]{1,3}")) {
+        if (text == null || !PREFIX.matcher(text).matches()) {
             return Optional.empty();
         }
         int slash = text.indexOf('/');
@@ -32,7 +37,10 @@
 
     /** Parses a literal address into 4 or 16 bytes; host names are not looked up. */
     public static Optional<byte[]> parseAddress(String text) {
-        if (!text.matches("[0-9a-fA-F.:]+") || !(text.contains(".") || text.contains(":"))) {
+        if (IPV4.matcher(text).matches()) {
+            return parseIpv4(text);
+        }
+        if (!IPV6.matcher(text).matches()) {
             return Optional.empty();
         }
         try {
@@ -42,6 +50,21 @@
         }
     }
 
+    private static Optional<byte[]> parseIpv4(String text) {
+        byte[] address = new byte[4];
+        int start = 0;
+        for (int index = 0; index < address.length; index++) {
+            int dot = index < 3 ? text.indexOf('.', start) : text.length();
+            int value = Integer.parseInt(text, start, dot, 10);
+            if (value > 255) {
+                return Optional.empty();
+            }
+            address[index] = (byte) value;
+            start = dot + 1;
+        }
+        return Optional.of(address);
+    }
+
     /** Returns the bit at this position, counted from the most significant. */
     public static int bitAt(byte[] address, int position) {
         return (address[position / Byte.SIZE] >> (Byte.SIZE - 1 - position % Byte.SIZE)) & 1;
--- a/src/main/java/org/bulrushwheel/logic/lookup/EntrySelector.java
+++ b/src/main/java/org/bulrushwheel/logic/lookup/EntrySelector.java
@@ -1,80 +1,87 @@
 package org.bulrushwheel.logic.lookup;
 
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 import org.bulrushwheel.model.config.Configuration;
 import org.bulrushwheel.model.config.DrainKind;
 import org.bulrushwheel.model.instance.Instance;
 
 /**
- * Orders entry instances for a caller: the caller's zone first, then the other zones of its region, then other
- * regions, and never two of one failure domain before each domain had its turn.
+ * Orders entry instances for a caller: the caller's zone first, then the other zones of its region, then other regions;
+ * one of each zone before a second of any. A selection takes time by the length of the answer, not by the fleet.
  *
  * <p>Immutable and thread safe.
  */
 public final class EntrySelector {
-    private final Configuration configuration;
+    private final Map<String, List<Instance>> instancesByZone;
+    private final Map<String, List<String>> zonesByRegion;
+    private final Map<String, String> regionByZone;
+    private final List<String> zones;
 
-    /** A selector under this configuration. */
-    public EntrySelector(Configuration configuration) {
-        this.configuration = configuration;
+    /** A selector of these instances, which are up and not leaving, under this configuration. */
+    public EntrySelector(Configuration configuration, List<Instance> instances) {
+        this.instancesByZone = instances.stream()
+                .filter(instance -> mayServe(configuration, instance))
+                .collect(Collectors.groupingBy(Instance::zone, TreeMap::new, Collectors.toUnmodifiableList()));
+        this.zones = List.copyOf(instancesByZone.keySet());
+        this.regionByZone = instancesByZone.values().stream()
+                .map(list -> list.get(0))
+                .collect(Collectors.toUnmodifiableMap(Instance::zone, Instance::region));
+        this.zonesByRegion =
+                zones.stream().collect(Collectors.groupingBy(regionByZone::get, Collectors.toUnmodifiableList()));
     }
 
     /**
      * Returns the instances to use, best first.
      *
-     * @param instances instances that are up and not leaving
      * @param zone zone of the caller
-     * @param seed spreads callers over the instances of a zone; the same seed gives the same order
+     * @param region region of that zone
+     * @param seed spreads callers over the instances of a zone; the same seed gives the same answer
      * @param most how many to return
      */
-    public List<Instance> select(List<Instance> instances, String zone, long seed, int most) {
-        String region = configuration.regionOf(zone).orElse("");
-        List<Instance> ordered = instances.stream()
-                .filter(this::mayServe)
-                .sorted(Comparator.comparingInt((Instance instance) -> distance(instance, zone, region))
-                        .thenComparingLong(instance -> weight(instance, seed))
-                        .thenComparing(Instance::name))
-                .toList();
-        return spread(ordered, most);
+    public List<Instance> select(String zone, String region, long seed, int most) {
+        Set<Instance> answer = new LinkedHashSet<>();
+        addOne(answer, zone, seed, 0);
+        addOneOfEach(answer, zonesByRegion.getOrDefault(region, List.of()), seed, most);
+        addOneOfEach(answer, zones, seed, most);
+        for (int second = 1; answer.size() < most && second < most; second++) {
+            addOne(answer, zone, seed, second);
+        }
+        return answer.stream().limit(most).toList();
     }
 
-    private boolean mayServe(Instance instance) {
-        return !configuration.isDrained(DrainKind.INSTANCE, instance.name())
-                && !configuration.isDrained(DrainKind.ZONE, instance.zone())
-                && !configuration.isDrained(DrainKind.REGION, instance.region());
+    /** Adds one instance of each zone until there are enough, beginning at a zone by the seed. */
+    private void addOneOfEach(Set<Instance> answer, List<String> candidates, long seed, int most) {
+        for (int index = 0; index < candidates.size() && answer.size() < most; index++) {
+            String zone = candidates.get(position(seed, index, candidates.size()));
+            boolean present =
+                    answer.stream().anyMatch(instance -> instance.zone().equals(zone));
+            if (!present) {
+                addOne(answer, zone, seed, 0);
+            }
+        }
     }
 
-    private static int distance(Instance instance, String zone, String region) {
-        if (instance.zone().equals(zone)) {
-            return 0;
+    private void addOne(Set<Instance> answer, String zone, long seed, int offset) {
+        List<Instance> instances = instancesByZone.getOrDefault(zone, List.of());
+        if (offset < instances.size()) {
+            answer.add(instances.get(position(seed, offset, instances.size())));
         }
-        return instance.region().equals(region) ? 1 : 2;
     }
 
-    private static long weight(Instance instance, long seed) {
-        long mixed = (instance.name().hashCode() ^ seed) * 0x9e3779b97f4a7c15L;
-        return mixed ^ (mixed >>> 29);
+    private static int position(long seed, int offset, int size) {
+        long mixed = (seed ^ (seed >>> 31)) * 0x9e3779b97f4a7c15L;
+        return (int) Long.remainderUnsigned((mixed >>> 1) + offset, size);
     }
 
-    /** The best instance, then the best of each other zone, then the rest. */
-    private static List<Instance> spread(List<Instance> ordered, int most) {
-        List<Instance> answer = new ArrayList<>();
-        Set<String> zones = new HashSet<>();
-        for (Instance instance : ordered) {
-            if (answer.size() < most && zones.add(instance.zone())) {
-                answer.add(instance);
-            }
-        }
-        for (Instance instance : ordered) {
-            if (answer.size() < most && !answer.contains(instance)) {
-                answer.add(instance);
-            }
-        }
-        return List.copyOf(answer);
+    private static boolean mayServe(Configuration configuration, Instance instance) {
+        return !configuration.isDrained(DrainKind.INSTANCE, instance.name())
+                && !configuration.isDrained(DrainKind.ZONE, instance.zone())
+                && !configuration.isDrained(DrainKind.REGION, instance.region());
     }
 }
--- a/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
@@ -54,6 +54,9 @@
     private long persistedIndex;
     private long round;
 
+    /** Whether peers are to be told of entries, commits or a round; once for all that came up since the last ready. */
+    private boolean broadcastPending;
+
     private boolean hardStateChanged;
     private Optional<SnapshotFile> installed = Optional.empty();
     private Optional<Long> truncateAfter = Optional.empty();
@@ -156,13 +159,17 @@
         }
         round++;
         readsByRound.computeIfAbsent(round, key -> new ArrayList<>()).add(readId);
-        broadcastAppend();
+        broadcastPending = true;
         confirmReads();
         return true;
     }
 
     /** Takes the work that has come up since the last call. */
     public RaftReady takeReady() {
+        if (role == RaftRole.LEADER && broadcastPending) {
+            broadcastAppend();
+        }
+        broadcastPending = false;
         List<LogEntry> committed = new ArrayList<>();
         long deliverable = Math.min(commitIndex, Math.max(persistedIndex, deliveredIndex));
         while (deliveredIndex < deliverable) {
@@ -266,7 +273,7 @@
         if (nowMillis >= nextHeartbeatMillis) {
             nextHeartbeatMillis = nowMillis + timings.heartbeatMillis();
             round++;
-            broadcastAppend();
+            broadcastPending = true;
         }
     }
 
@@ -453,7 +460,7 @@
             progress.rejected(response.getMatchIndex());
         }
         confirmReads();
-        if (progress.nextIndex() <= log.lastIndex()) {
+        if (progress.nextIndex() <= log.lastIndex() && !broadcastPending) {
             sendAppend(message.getFrom());
         }
     }
@@ -463,7 +470,7 @@
                 entry.setTerm(hardState.getTerm()).setIndex(log.lastIndex() + 1).build();
         log.append(complete);
         unstored.add(complete);
-        broadcastAppend();
+        broadcastPending = true;
         return complete.getIndex();
     }
 
@@ -517,7 +524,7 @@
                 becomeFollower(hardState.getTerm(), Optional.empty());
                 return;
             }
-            broadcastAppend();
+            broadcastPending = true;
         }
     }
 
--- a/src/main/java/org/bulrushwheel/server/lookup/LookupHandler.java
+++ b/src/main/java/org/bulrushwheel/server/lookup/LookupHandler.java
@@ -32,12 +32,14 @@
     public static final long CACHE_MILLIS = 10_000;
 
     private static final int MAX_ENTRIES = 3;
+    private static final long REFRESH_MILLIS = 100;
 
     private final String ownZone;
     private final Supplier<List<Instance>> instances;
     private final TimeSource time;
     private final HttpAnswers answers;
     private final Meter lookups;
+    private volatile long nextRefreshMillis = Long.MIN_VALUE;
     private volatile Tables tables = Tables.NONE;
 
     /** A handler that answers with these instances. */
@@ -54,10 +56,16 @@
         this.lookups = metrics.meter("lookups");
     }
 
-    private record Tables(VersionedConfiguration configuration, EntrySelector selector, ClientBlockTable blocks) {
+    /** What is built from the configuration and the serving instances. */
+    private record Tables(
+            VersionedConfiguration configuration,
+            List<Instance> serving,
+            EntrySelector selector,
+            ClientBlockTable blocks) {
         static final Tables NONE = new Tables(
                 VersionedConfiguration.NONE,
-                new EntrySelector(VersionedConfiguration.NONE.configuration()),
+                List.of(),
+                new EntrySelector(VersionedConfiguration.NONE.configuration(), List.of()),
                 ClientBlockTable.of(List.of()));
 
         /** The table of blocks is built anew only when the blocks have changed. */
@@ -67,11 +75,22 @@
                     .equals(configuration.configuration().clientBlocks());
             return new Tables(
                     newer,
-                    new EntrySelector(newer.configuration()),
+                    serving,
+                    new EntrySelector(newer.configuration(), serving),
                     sameBlocks
                             ? blocks
                             : ClientBlockTable.of(newer.configuration().clientBlocks()));
         }
+
+        Tables with(List<Instance> newServing) {
+            return newServing.equals(serving)
+                    ? this
+                    : new Tables(
+                            configuration,
+                            newServing,
+                            new EntrySelector(configuration.configuration(), newServing),
+                            blocks);
+        }
     }
 
     /**
@@ -101,7 +120,7 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         lookups.mark();
-        Tables now = tables;
+        Tables now = refreshed();
         Optional<String> service = parameter(exchange, "service");
         if (service.isEmpty()) {
             answers.refuse(
@@ -122,7 +141,8 @@
         String client = parameter(exchange, "client")
                 .orElseGet(() -> exchange.getSourceAddress().getAddress().getHostAddress());
         String zone = now.blocks().zoneOf(client).orElse(ownZone);
-        List<Entry> entries = now.selector().select(instances.get(), zone, client.hashCode(), MAX_ENTRIES).stream()
+        String region = now.configuration().configuration().regionOf(zone).orElse("");
+        List<Entry> entries = now.selector().select(zone, region, client.hashCode(), MAX_ENTRIES).stream()
                 .map(instance -> new Entry(instance.name(), instance.zone(), instance.httpAddress()))
                 .toList();
         exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "max-age=" + CACHE_MILLIS / 1_000);
@@ -132,6 +152,18 @@
                 new Answer(service, now.configuration().version(), time.epochMillis() + CACHE_MILLIS, entries));
     }
 
+    /** Takes a new list of serving instances now and then, which is far more often than it changes. */
+    private Tables refreshed() {
+        long now = time.monotonicMillis();
+        if (now >= nextRefreshMillis) {
+            nextRefreshMillis = now + REFRESH_MILLIS;
+            synchronized (this) {
+                tables = tables.with(instances.get());
+            }
+        }
+        return tables;
+    }
+
     private static Optional<String> parameter(HttpServerExchange exchange, String name) {
         return Optional.ofNullable(exchange.getQueryParameters().get(name)).map(values -> values.getFirst());
     }
