Give the page on capacity, recover whole processes, and hedge reused connections instead of cutting them

Cause: slow answers on reused connections were cut after 2 s and ran again; an instance that left alone in its zone had no owner of its slots; a restarted holder in another zone looked alive; heartbeats and summaries grew with the fleet. Change: a second attempt beside the first, the first answer wins; leavers own while nobody stays; summaries carry incarnations; a heartbeat echoes only its receiver; look-up, control and capacity measurements; examples; pages.

--- a/src/main/java/org/bulrushwheel/cli/MeasureCommand.java
+++ b/src/main/java/org/bulrushwheel/cli/MeasureCommand.java
@@ -11,6 +11,8 @@
 import org.bulrushwheel.measure.LogMeasurement;
 import org.bulrushwheel.measure.LookupMeasurement;
 import org.bulrushwheel.measure.OnceMeasurement;
+import org.bulrushwheel.measure.capacity.CapacityTable;
+import org.bulrushwheel.measure.capacity.Slopes;
 import org.bulrushwheel.measure.steer.SteerDeployment;
 import org.bulrushwheel.measure.steer.SteerMeasurement;
 import picocli.CommandLine.Command;
@@ -29,7 +31,8 @@
             MeasureCommand.Once.class,
             MeasureCommand.Accept.class,
             MeasureCommand.Log.class,
-            MeasureCommand.Control.class
+            MeasureCommand.Control.class,
+            MeasureCommand.Capacity.class
         })
 final class MeasureCommand {
     /** Options of every measurement. */
@@ -160,4 +163,17 @@
             return table.print(ControlMeasurement.run());
         }
     }
+
+    /** The table of CAPACITY.md. */
+    @Command(
+            name = "capacity",
+            mixinStandardHelpOptions = true,
+            description = "Print the table of docs/CAPACITY.md from the measured slopes.")
+    static final class Capacity implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            System.out.print(new CapacityTable(Slopes.shipped()).markdown());
+            return ExitCodes.DONE;
+        }
+    }
 }
--- a/src/main/java/org/bulrushwheel/logic/membership/ZoneMembership.java
+++ b/src/main/java/org/bulrushwheel/logic/membership/ZoneMembership.java
@@ -57,7 +57,7 @@
         this.lastAlive = view(nowMillis).alive();
     }
 
-    /** Makes the next heartbeat; it goes to every member. */
+    /** Makes the next heartbeat; {@link #addressedTo} completes it for each member. */
     public Heartbeat heartbeat(long configurationVersion, long nowMillis) {
         observe(nowMillis);
         counter++;
@@ -65,20 +65,25 @@
         if (sentMillisByCounter.size() > SENT_KEPT) {
             sentMillisByCounter.pollFirstEntry();
         }
-        Heartbeat.Builder heartbeat = Heartbeat.newBuilder()
+        return Heartbeat.newBuilder()
                 .setIncarnation(incarnation)
                 .setCounter(counter)
                 .setLeaving(leaving)
-                .setConfigurationVersion(configurationVersion);
-        members.forEach((name, member) -> {
-            if (isAlive(member, nowMillis)) {
-                heartbeat.addEchoes(HeartbeatEcho.newBuilder()
-                        .setInstance(name)
+                .setConfigurationVersion(configurationVersion)
+                .build();
+    }
+
+    /** Returns the heartbeat with the echo for one member, while that one counts as alive. */
+    public Heartbeat addressedTo(String name, Heartbeat heartbeat, long nowMillis) {
+        Member member = members.get(name);
+        if (member == null || !isAlive(member, nowMillis)) {
+            return heartbeat;
+        }
+        return heartbeat.toBuilder()
+                .setEcho(HeartbeatEcho.newBuilder()
                         .setIncarnation(member.incarnation)
-                        .setCounter(member.counter));
-            }
-        });
-        return heartbeat.build();
+                        .setCounter(member.counter))
+                .build();
     }
 
     /** Takes a heartbeat of another member; an older one changes nothing. */
@@ -96,11 +101,12 @@
         member.leaving = heartbeat.getLeaving();
         member.configurationVersion = heartbeat.getConfigurationVersion();
         member.heardMillis = nowMillis;
-        heartbeat.getEchoesList().stream()
-                .filter(echo -> echo.getInstance().equals(self) && echo.getIncarnation() == incarnation)
-                .map(echo -> sentMillisByCounter.get(echo.getCounter()))
-                .filter(sentMillis -> sentMillis != null)
-                .forEach(sentMillis -> member.echoedSentMillis = Math.max(member.echoedSentMillis, sentMillis));
+        Long echoedSentMillis = heartbeat.getEcho().getIncarnation() == incarnation
+                ? sentMillisByCounter.get(heartbeat.getEcho().getCounter())
+                : null;
+        if (echoedSentMillis != null) {
+            member.echoedSentMillis = Math.max(member.echoedSentMillis, echoedSentMillis);
+        }
         observe(nowMillis);
     }
 
@@ -109,23 +115,25 @@
         leaving = true;
     }
 
-    /** Returns what is known now. */
+    /** Returns what is known now. While every living member leaves, those that leave still own. */
     public MemberView view(long nowMillis) {
-        Set<String> alive = new HashSet<>();
+        Set<String> staying = new HashSet<>();
+        Set<String> leavers = new HashSet<>();
         Set<String> serving = new HashSet<>();
+        (leaving ? leavers : staying).add(self);
         if (!leaving) {
-            alive.add(self);
             serving.add(self);
         }
         members.forEach((name, member) -> {
-            if (isAlive(member, nowMillis) && !member.leaving) {
-                alive.add(name);
-                if (nowMillis - member.heardMillis < timings.suspectMillis()) {
-                    serving.add(name);
-                }
+            if (!isAlive(member, nowMillis)) {
+                return;
+            }
+            (member.leaving ? leavers : staying).add(name);
+            if (!member.leaving && nowMillis - member.heardMillis < timings.suspectMillis()) {
+                serving.add(name);
             }
         });
-        return new MemberView(alive, serving);
+        return new MemberView(staying.isEmpty() ? leavers : staying, serving);
     }
 
     /**
@@ -134,7 +142,7 @@
      */
     public boolean mayOwn(long nowMillis) {
         observe(nowMillis);
-        return !leaving && nowMillis - stableSinceMillis >= timings.takeoverMillis();
+        return lastAlive.contains(self) && nowMillis - stableSinceMillis >= timings.takeoverMillis();
     }
 
     /** Notes whether anything has changed; runs with every message, so that no change between two questions is missed. */
@@ -167,6 +175,16 @@
         return member != null && member.incarnation == memberIncarnation && isAlive(member, nowMillis);
     }
 
+    /** Returns the incarnation of a member as last heard; none before the first heartbeat. */
+    public Optional<Long> incarnationOf(String name) {
+        if (name.equals(self)) {
+            return Optional.of(incarnation);
+        }
+        return Optional.ofNullable(members.get(name))
+                .map(member -> member.incarnation)
+                .filter(heard -> heard > 0);
+    }
+
     /** Returns the configuration version that each living member reported. */
     public Map<String, Long> configurationVersions(long nowMillis) {
         Map<String, Long> versions = new TreeMap<>();
--- a/src/main/java/org/bulrushwheel/server/HttpAnswers.java
+++ b/src/main/java/org/bulrushwheel/server/HttpAnswers.java
@@ -37,10 +37,10 @@
 
     /** Writes a refusal and counts it under its reason. */
     public void refuse(HttpServerExchange exchange, Refusal refusal) {
-        metrics.counter("refusals." + refusal.reason().wireName()).inc();
         if (exchange.isResponseStarted() || exchange.isComplete()) {
             return;
         }
+        metrics.counter("refusals." + refusal.reason().wireName()).inc();
         exchange.getResponseHeaders().put(REFUSAL_HEADER, refusal.reason().wireName());
         exchange.getResponseHeaders().put(RUN_STATE_HEADER, refusal.runState().headerValue());
         if (refusal.retryAfterSeconds() > 0) {
--- a/src/main/java/org/bulrushwheel/server/caps/ShiftCapService.java
+++ b/src/main/java/org/bulrushwheel/server/caps/ShiftCapService.java
@@ -4,14 +4,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
 import org.bulrushwheel.control.ReplicaStatus;
 import org.bulrushwheel.kernel.KernelService;
+import org.bulrushwheel.kernel.ServiceTimer;
 import org.bulrushwheel.logic.budget.RateBudgetOwner;
 import org.bulrushwheel.logic.budget.RateLimiter;
 import org.bulrushwheel.logic.budget.RateTimings;
@@ -54,8 +52,7 @@
     private final List<String> controlInstances;
     private final Map<String, Limit> limitsByName = new HashMap<>();
     private final Map<String, RateBudgetOwner> ownersByName = new HashMap<>();
-    private final ScheduledExecutorService timer =
-            Executors.newSingleThreadScheduledExecutor(new io.netty.util.concurrent.DefaultThreadFactory("caps"));
+    private final ServiceTimer timer;
     private long leaderSinceMillis = Long.MAX_VALUE;
     private long leaderTerm = -1;
     private long sequence;
@@ -85,6 +82,7 @@
         this.configuration = configuration;
         this.replica = replica;
         this.time = time;
+        this.timer = new ServiceTimer(NAME, metrics);
         this.metrics = metrics;
         this.controlInstances = settings.instances().stream()
                 .filter(Instance::control)
@@ -101,12 +99,12 @@
 
     @Override
     public void start() {
-        timer.scheduleWithFixedDelay(this::renew, 0, TIMINGS.renewMillis(), TimeUnit.MILLISECONDS);
+        timer.every(TIMINGS.renewMillis(), this::renew);
     }
 
     @Override
     public void stop() {
-        timer.shutdownNow();
+        timer.close();
     }
 
     @Override
--- a/src/main/java/org/bulrushwheel/server/configuration/ConfigurationService.java
+++ b/src/main/java/org/bulrushwheel/server/configuration/ConfigurationService.java
@@ -3,9 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -14,6 +11,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import org.bulrushwheel.kernel.KernelService;
+import org.bulrushwheel.kernel.ServiceTimer;
 import org.bulrushwheel.logic.config.ConfigurationInForce;
 import org.bulrushwheel.logic.membership.RendezvousHash;
 import org.bulrushwheel.logic.time.TimeSource;
@@ -52,8 +50,7 @@
     private final List<Consumer<VersionedConfiguration>> listeners = new CopyOnWriteArrayList<>();
     private final List<String> zonePeers;
     private final List<String> controlPeers;
-    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(
-            new io.netty.util.concurrent.DefaultThreadFactory("configuration"));
+    private final ServiceTimer timer;
     private volatile VersionedConfiguration current = VersionedConfiguration.NONE;
     private volatile BooleanSupplier leads = () -> false;
     private volatile BiConsumer<String, Long> confirmer = (asker, haveVersion) -> {};
@@ -65,6 +62,7 @@
         this.settings = settings;
         this.peers = peers;
         this.time = time;
+        this.timer = new ServiceTimer(NAME, metrics);
         this.metrics = metrics;
         this.configuration = new ConfigurationInForce(time.monotonicMillis() + GRACE_MILLIS);
         this.zonePeers = namesOf(peer -> peer.zone().equals(settings.zone()));
@@ -84,12 +82,12 @@
 
     @Override
     public void start() {
-        timer.scheduleWithFixedDelay(this::poll, 0, FIRST_POLL_MILLIS, TimeUnit.MILLISECONDS);
+        timer.every(FIRST_POLL_MILLIS, this::poll);
     }
 
     @Override
     public void stop() {
-        timer.shutdownNow();
+        timer.close();
     }
 
     /** Returns the configuration in force. */
--- a/src/main/java/org/bulrushwheel/server/gateway/GatewayExchange.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/GatewayExchange.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -26,8 +28,9 @@
 /**
  * The attempts of one request.
  *
- * <p>Invariants: at most one attempt is under way; an attempt that may have run is repeated only when the route is
- * idempotent and nothing of an answer has gone to the caller; the caller sees the answer of exactly one attempt.
+ * <p>Invariants: at most one attempt is under way, or two while a reused connection is suspected of silence; an attempt
+ * that may have run is repeated only when the route is idempotent and nothing of an answer has gone to the caller; the
+ * caller sees the answer of exactly one attempt.
  * Confined to the I/O thread of the exchange.
  */
 final class GatewayExchange {
@@ -44,11 +47,12 @@
 
     private AnswerSink sink = AnswerSink.DIRECT;
     private int attempts;
+    private boolean won;
     private int crashes;
     private Optional<Refusal> lastRefusal = Optional.empty();
     private boolean earlierAttemptMayHaveRun;
     private boolean bodyConsumed;
-    private Optional<Attempt> current = Optional.empty();
+    private final List<Attempt> running = new ArrayList<>();
 
     GatewayExchange(HttpServerExchange exchange, GatewayRequest request, GatewayServices services, boolean streamed) {
         this.exchange = exchange;
@@ -63,6 +67,7 @@
         private final SlotLease lease;
         private Optional<PooledConnection> connection = Optional.empty();
         private Optional<XnioExecutor.Key> timer = Optional.empty();
+        private boolean reusedConnection;
         private boolean finished;
 
         Attempt(SlotLease lease) {
@@ -90,7 +95,7 @@
         sink = answerSink;
         if (request.route().idempotent()) {
             exchange.addExchangeCompleteListener((done, next) -> {
-                current.filter(attempt -> !attempt.finished).ifPresent(this::abandon);
+                List.copyOf(running).forEach(attempt -> abandon(attempt, false));
                 next.proceed();
             });
         }
@@ -109,11 +114,18 @@
 
     private void onSlot(Either<Refusal, SlotLease> result) {
         if (result.isLeft()) {
-            refuse(lastRefusal.orElse(result.getLeft()));
+            if (!isAnotherRunning() && !won) {
+                refuse(lastRefusal.orElse(result.getLeft()));
+            }
+            return;
+        }
+        if (won) {
+            result.get().release(AttemptOutcome.NEUTRAL, 0);
             return;
         }
+        boolean freshOnly = !request.route().idempotent() || streamed || isAnotherRunning();
         Attempt attempt = new Attempt(result.get());
-        current = Optional.of(attempt);
+        running.add(attempt);
         if (exchange.isComplete() || remainingMillis() <= 0) {
             attempt.finish(AttemptOutcome.NEUTRAL);
             refuse(Refusal.notRun(RefusalReason.DEADLINE_EXCEEDED, "before the request was sent"));
@@ -125,7 +137,7 @@
                         attempt.lease.upstream(),
                         thread,
                         exchange.getConnection().getByteBufferPool(),
-                        !request.route().idempotent() || streamed,
+                        freshOnly,
                         new ClientCallback<>() {
                             @Override
                             public void completed(PooledConnection connection) {
@@ -145,6 +157,7 @@
             return;
         }
         attempt.connection = Optional.of(connection);
+        attempt.reusedConnection = connection.reused();
         bodyConsumed = bodyConsumed || streamed;
         connection.connection().sendRequest(upstreamRequest(), new ClientCallback<>() {
             @Override
@@ -157,7 +170,7 @@
 
                     @Override
                     public void failed(IOException e) {
-                        onFailed(attempt, e, false);
+                        onFailed(attempt, e);
                     }
                 });
                 writeBody(attempt, clientExchange);
@@ -165,7 +178,7 @@
 
             @Override
             public void failed(IOException e) {
-                onFailed(attempt, e, false);
+                onFailed(attempt, e);
             }
         });
     }
@@ -191,10 +204,10 @@
     private void writeBody(Attempt attempt, ClientExchange clientExchange) {
         if (streamed) {
             BodyStreams.streamRequest(
-                    exchange, clientExchange, e -> onCallerFailed(attempt, e), e -> onFailed(attempt, e, false));
+                    exchange, clientExchange, e -> onCallerFailed(attempt, e), e -> onFailed(attempt, e));
             return;
         }
-        BodyStreams.write(clientExchange.getRequestChannel(), request.body(), e -> onFailed(attempt, e, false));
+        BodyStreams.write(clientExchange.getRequestChannel(), request.body(), e -> onFailed(attempt, e));
     }
 
     private void onResponse(Attempt attempt, ClientExchange clientExchange) {
@@ -208,7 +221,10 @@
         boolean bodyless = request.method().equals(Methods.HEAD);
         if (isNotRun(response)) {
             onShed(attempt);
-        } else if (small || bodyless || sink.wantsWholeAnswer()) {
+            return;
+        }
+        win(attempt);
+        if (small || bodyless || sink.wantsWholeAnswer()) {
             int maxBytes = sink.wantsWholeAnswer()
                     ? GatewayHandler.MAX_ONCE_BODY_BYTES
                     : GatewayHandler.MAX_BUFFERED_BODY_BYTES;
@@ -244,7 +260,7 @@
                             Refusal.unknown(RefusalReason.ANSWER_NOT_KEPT, "the answer is larger than what is kept")));
             return;
         }
-        onFailed(attempt, e, false);
+        onFailed(attempt, e);
     }
 
     private void stream(Attempt attempt, ClientExchange clientExchange) {
@@ -260,7 +276,7 @@
                 clientExchange,
                 () -> finishAnswered(attempt, response.getResponseHeaders(), Math.max(0, lengthBytes)),
                 e -> onStreamBroken(attempt),
-                e -> abandon(attempt));
+                e -> abandon(attempt, false));
     }
 
     /** Part of the answer has gone out: only a reset tells the caller that the rest is missing. */
@@ -303,22 +319,20 @@
         }
     }
 
-    private void onFailed(Attempt attempt, IOException e, boolean silent) {
+    private void onFailed(Attempt attempt, IOException e) {
         if (!attempt.finish(AttemptOutcome.FAILED)) {
             return;
         }
-        attempt.connection.ifPresent(connection -> services.connections().discard(connection, silent));
+        attempt.connection.ifPresent(connection -> services.connections().discard(connection, false));
         earlierAttemptMayHaveRun = true;
-        if (!silent) {
-            exclude(attempt);
-            crashes++;
-            services.poison()
-                    .onCrash(request.fingerprint(), attempt.lease.upstream().id());
-        }
+        exclude(attempt);
+        crashes++;
+        services.poison()
+                .onCrash(request.fingerprint(), attempt.lease.upstream().id());
         Refusal refusal = Refusal.unknown(
                 RefusalReason.UPSTREAM_FAILED, attempt.lease.upstream().id() + ": " + e.getMessage());
         if (request.route().idempotent()) {
-            retryOr(attempt, silent ? "silent" : "failed", refusal);
+            retryOr(attempt, "failed", refusal);
         } else {
             refuse(refusal);
         }
@@ -331,48 +345,81 @@
 
     private void retryOr(Attempt attempt, String reason, Refusal refusal) {
         lastRefusal = Optional.of(refusal);
-        boolean allowed = attempts < MAX_ATTEMPTS
-                && crashes <= MAX_CRASH_RETRIES
-                && !bodyConsumed
-                && remainingMillis() > 0
-                && !exchange.isResponseStarted()
-                && services.retries().tryRetry();
-        if (!allowed) {
+        if (isAnotherRunning()) {
+            return;
+        }
+        if (!mayRetry()) {
             refuse(refusal);
             return;
         }
+        won = false;
         services.metrics().counter("gateway.retries." + reason).inc();
         attempt();
     }
 
+    private boolean isAnotherRunning() {
+        return running.stream().anyMatch(attempt -> !attempt.finished);
+    }
+
     private void startTimer(Attempt attempt) {
         long waitMillis = Math.min(SILENCE_MILLIS, remainingMillis());
         attempt.timer = Optional.of(
                 thread.executeAfter(() -> onTimer(attempt), Math.max(1, waitMillis), TimeUnit.MILLISECONDS));
     }
 
+    /**
+     * A connection that was open before may have gone silent, so a second attempt goes out on a new one and the first
+     * that answers wins. On a new connection the endpoint is merely slow.
+     */
     private void onTimer(Attempt attempt) {
         if (attempt.finished || exchange.isResponseStarted()) {
             return;
         }
-        boolean sent = attempt.connection.isPresent();
-        boolean expired = remainingMillis() <= 0;
-        if (!sent) {
+        if (attempt.connection.isEmpty()) {
             onConnectFailed(attempt, new IOException("no connection within " + SILENCE_MILLIS + " ms"));
-        } else if (expired) {
-            attempt.connection.ifPresent(connection -> services.connections().discard(connection, true));
-            attempt.finish(AttemptOutcome.FAILED);
+            return;
+        }
+        if (remainingMillis() <= 0) {
+            List.copyOf(running).forEach(each -> {
+                if (each.finish(AttemptOutcome.FAILED)) {
+                    each.connection.ifPresent(
+                            connection -> services.connections().discard(connection, true));
+                }
+            });
             refuse(Refusal.unknown(RefusalReason.DEADLINE_EXCEEDED, "no answer in time"));
-        } else if (request.route().idempotent()) {
-            onFailed(attempt, new IOException("no answer for " + SILENCE_MILLIS + " ms"), true);
-        } else {
-            startTimer(attempt);
+            return;
+        }
+        startTimer(attempt);
+        boolean suspicious = attempt.reusedConnection && request.route().idempotent() && running.size() == 1;
+        if (suspicious && mayRetry()) {
+            services.metrics().counter("gateway.retries.silent").inc();
+            attempt();
         }
     }
 
-    private void abandon(Attempt attempt) {
-        attempt.connection.ifPresent(connection -> services.connections().discard(connection, false));
-        attempt.finish(AttemptOutcome.NEUTRAL);
+    private boolean mayRetry() {
+        return attempts < MAX_ATTEMPTS
+                && crashes <= MAX_CRASH_RETRIES
+                && !bodyConsumed
+                && remainingMillis() > 0
+                && !exchange.isResponseStarted()
+                && services.retries().tryRetry();
+    }
+
+    private void abandon(Attempt attempt, boolean silent) {
+        if (attempt.finish(AttemptOutcome.NEUTRAL)) {
+            attempt.connection.ifPresent(connection -> services.connections().discard(connection, silent));
+        }
+    }
+
+    /** The first attempt that answers wins; a reused connection that a new one has overtaken was silent. */
+    private void win(Attempt winner) {
+        won = true;
+        for (Attempt other : List.copyOf(running)) {
+            if (other != winner) {
+                abandon(other, other.reusedConnection);
+            }
+        }
     }
 
     private void refuse(Refusal refusal) {
--- a/src/main/java/org/bulrushwheel/server/gateway/PooledConnection.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/PooledConnection.java
@@ -10,5 +10,10 @@
  * @param connection the connection
  * @param address address of the endpoint
  * @param openedMillis monotonic time of its opening
+ * @param reused whether an earlier request has used it
  */
-record PooledConnection(ClientConnection connection, String address, long openedMillis) {}
+record PooledConnection(ClientConnection connection, String address, long openedMillis, boolean reused) {
+    PooledConnection afterUse() {
+        return new PooledConnection(connection, address, openedMillis, true);
+    }
+}
--- a/src/main/java/org/bulrushwheel/server/gateway/UpstreamConnections.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/UpstreamConnections.java
@@ -69,8 +69,8 @@
                         new ClientCallback<>() {
                             @Override
                             public void completed(ClientConnection connection) {
-                                callback.completed(
-                                        new PooledConnection(connection, upstream.address(), time.monotonicMillis()));
+                                callback.completed(new PooledConnection(
+                                        connection, upstream.address(), time.monotonicMillis(), false));
                             }
 
                             @Override
@@ -91,7 +91,7 @@
         boolean kept = connection.connection().isOpen() && !isSuspect(connection);
         synchronized (idle) {
             if (kept && idle.size() < MAX_IDLE_PER_ENDPOINT) {
-                idle.push(new Idle(connection, time.monotonicMillis()));
+                idle.push(new Idle(connection.afterUse(), time.monotonicMillis()));
                 return;
             }
         }
--- a/src/main/java/org/bulrushwheel/server/membership/MembershipService.java
+++ b/src/main/java/org/bulrushwheel/server/membership/MembershipService.java
@@ -1,15 +1,13 @@
 package org.bulrushwheel.server.membership;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
@@ -17,6 +15,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import org.bulrushwheel.kernel.KernelService;
+import org.bulrushwheel.kernel.ServiceTimer;
 import org.bulrushwheel.logic.membership.MemberView;
 import org.bulrushwheel.logic.membership.MembershipTimings;
 import org.bulrushwheel.logic.membership.RendezvousHash;
@@ -25,6 +24,7 @@
 import org.bulrushwheel.model.instance.Instance;
 import org.bulrushwheel.model.proto.Frame;
 import org.bulrushwheel.model.proto.Heartbeat;
+import org.bulrushwheel.model.proto.ServingMember;
 import org.bulrushwheel.model.proto.ZoneSummary;
 import org.bulrushwheel.model.settings.Settings;
 import org.bulrushwheel.wire.PeerNetwork;
@@ -42,7 +42,7 @@
 
     private static final Logger LOGGER = LoggerFactory.getLogger(MembershipService.class);
     private static final String RELAY_KEY = "relay";
-    private static final long SUMMARY_MILLIS = 1_000;
+    private static final long SUMMARY_MILLIS = 5_000;
 
     private final Settings settings;
     private final PeerNetwork peers;
@@ -51,10 +51,10 @@
     private final ZoneMembership membership;
     private final List<Instance> zonePeers;
     private final Map<String, ZoneSummary> summaries = new ConcurrentHashMap<>();
-    private final ScheduledExecutorService timer =
-            Executors.newSingleThreadScheduledExecutor(new io.netty.util.concurrent.DefaultThreadFactory("membership"));
+    private final ServiceTimer timer;
     private volatile BiConsumer<String, Long> versionListener = (neighbour, version) -> {};
     private Set<String> lastAlive = Set.of();
+    private Set<String> lastServing = Set.of();
     private long nextSummaryMillis;
 
     /** Membership of the zone of the settings. */
@@ -68,6 +68,7 @@
         this.settings = settings;
         this.peers = peers;
         this.time = time;
+        this.timer = new ServiceTimer(NAME, metrics);
         this.configurationVersion = configurationVersion;
         this.zonePeers = settings.peers().stream()
                 .filter(peer -> peer.zone().equals(settings.zone()))
@@ -92,12 +93,12 @@
     @Override
     public void start() {
         long everyMillis = MembershipTimings.DEFAULT.heartbeatMillis();
-        timer.scheduleAtFixedRate(this::beat, 0, everyMillis, TimeUnit.MILLISECONDS);
+        timer.every(everyMillis, this::beat);
     }
 
     @Override
     public void stop() {
-        timer.shutdownNow();
+        timer.close();
     }
 
     /** Says that this instance leaves; it goes out at once and with every heartbeat. */
@@ -105,7 +106,7 @@
         synchronized (membership) {
             membership.leave();
         }
-        timer.execute(this::beat);
+        timer.after(0, this::beat);
     }
 
     /** Sets who is told the configuration version of each neighbour that is heard. */
@@ -150,7 +151,7 @@
         return settings.peers().stream()
                 .filter(peer -> peer.name().equals(instance) && !peer.zone().equals(settings.zone()))
                 .map(peer -> summaries.get(peer.zone()))
-                .anyMatch(summary -> summary == null || summary.getServingList().contains(instance));
+                .anyMatch(summary -> summary == null || serves(summary, instance, incarnation));
     }
 
     /** Returns the instances that look-ups may name, as far as this one knows. */
@@ -162,7 +163,9 @@
             ZoneSummary summary = summaries.get(instance.zone());
             boolean named = inZone
                     ? local.contains(instance.name())
-                    : summary == null || summary.getServingList().contains(instance.name());
+                    : summary == null
+                            || summary.getServingList().stream()
+                                    .anyMatch(member -> member.getInstance().equals(instance.name()));
             if (named) {
                 serving.add(instance);
             }
@@ -178,13 +181,16 @@
     }
 
     private void beat() {
-        Heartbeat heartbeat;
+        Map<String, Heartbeat> heartbeats = new HashMap<>();
         Set<String> alive;
         synchronized (membership) {
-            heartbeat = membership.heartbeat(configurationVersion.getAsLong(), time.monotonicMillis());
-            alive = membership.view(time.monotonicMillis()).alive();
+            long now = time.monotonicMillis();
+            Heartbeat heartbeat = membership.heartbeat(configurationVersion.getAsLong(), now);
+            zonePeers.forEach(peer -> heartbeats.put(peer.name(), membership.addressedTo(peer.name(), heartbeat, now)));
+            alive = membership.view(now).alive();
         }
-        zonePeers.forEach(peer -> peers.send(peer.name(), Frame.newBuilder().setHeartbeat(heartbeat)));
+        heartbeats.forEach(
+                (peer, heartbeat) -> peers.send(peer, Frame.newBuilder().setHeartbeat(heartbeat)));
         logChange(alive);
         maybeSendSummaries(alive);
     }
@@ -198,20 +204,23 @@
         }
     }
 
-    /** One instance of the zone tells each other zone; the instance it tells passes it on. */
+    /** One instance of the zone tells each other zone, at once when it changes; the instance it tells passes it on. */
     private void maybeSendSummaries(Set<String> alive) {
         long now = time.monotonicMillis();
         boolean relay = RendezvousHash.best(RELAY_KEY, alive)
                 .filter(settings.instance()::equals)
                 .isPresent();
-        if (!relay || now < nextSummaryMillis) {
+        Set<String> serving = view().serving();
+        boolean changed = !serving.equals(lastServing);
+        if (!relay || (now < nextSummaryMillis && !changed)) {
             return;
         }
+        lastServing = serving;
         nextSummaryMillis = now + SUMMARY_MILLIS;
         ZoneSummary summary = ZoneSummary.newBuilder()
                 .setZone(settings.zone())
                 .setSequence(time.epochMillis())
-                .addAllServing(view().serving())
+                .addAllServing(servingMembers())
                 .setForward(true)
                 .build();
         Map<String, List<Instance>> byZone = settings.peers().stream()
@@ -223,6 +232,22 @@
         });
     }
 
+    private List<ServingMember> servingMembers() {
+        synchronized (membership) {
+            return membership.view(time.monotonicMillis()).serving().stream()
+                    .map(name -> ServingMember.newBuilder()
+                            .setInstance(name)
+                            .setIncarnation(membership.incarnationOf(name).orElse(0L))
+                            .build())
+                    .toList();
+        }
+    }
+
+    private static boolean serves(ZoneSummary summary, String instance, long incarnation) {
+        return summary.getServingList().stream()
+                .anyMatch(member -> member.getInstance().equals(instance) && member.getIncarnation() == incarnation);
+    }
+
     private void onHeartbeat(String from, Heartbeat heartbeat) {
         synchronized (membership) {
             membership.onHeartbeat(from, heartbeat, time.monotonicMillis());
--- a/src/main/java/org/bulrushwheel/server/slots/SlotService.java
+++ b/src/main/java/org/bulrushwheel/server/slots/SlotService.java
@@ -7,9 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 
@@ -17,6 +14,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.vavr.control.Either;
 import org.bulrushwheel.kernel.KernelService;
+import org.bulrushwheel.kernel.ServiceTimer;
 import org.bulrushwheel.logic.budget.LinkMeter;
 import org.bulrushwheel.logic.budget.LinkShares;
 import org.bulrushwheel.logic.steering.EndpointLimits;
@@ -55,6 +53,7 @@
     public static final String NAME = "slots";
 
     private static final long TICK_MILLIS = 5;
+    private static final long IDLE_TICK_MILLIS = 50;
     private static final long OWNER_TICK_MILLIS = 50;
     private static final long RETRY_AFTER_SECONDS = 1;
 
@@ -72,10 +71,10 @@
     private final Map<String, ServiceSlots> slotsByService = new HashMap<>();
     private final Map<String, String> ownerByPool = new HashMap<>();
     private final Map<Long, PendingRequest> pending = new HashMap<>();
-    private final ScheduledExecutorService timer =
-            Executors.newSingleThreadScheduledExecutor(new io.netty.util.concurrent.DefaultThreadFactory("slots"));
+    private final ServiceTimer timer;
     private long nextRequestId;
     private long nextOwnerTickMillis;
+    private boolean tickScheduled;
 
     private record PendingRequest(String service, CompletableFuture<Either<Refusal, SlotLease>> answer) {}
 
@@ -96,6 +95,7 @@
         this.upstreams = upstreams;
         this.configuration = configuration;
         this.time = time;
+        this.timer = new ServiceTimer(NAME, metrics);
         this.metrics = metrics;
         this.owners = new PoolOwners(settings.zone(), membership::owns, this::limitsOf);
         this.targets = new OwnerTargets(settings.zone(), membership::ownerOf, this::instancesOf);
@@ -112,12 +112,12 @@
 
     @Override
     public void start() {
-        timer.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        timer.every(IDLE_TICK_MILLIS, this::tick);
     }
 
     @Override
     public void stop() {
-        timer.shutdownNow();
+        timer.close();
     }
 
     @Override
@@ -129,6 +129,7 @@
             return slotsOf(query.service())
                     .submit(requestId, query.excluded(), query.deadlineMillis(), time.monotonicMillis());
         });
+        tickSoon();
         return answer;
     }
 
@@ -146,6 +147,20 @@
         effects.forEach(Runnable::run);
     }
 
+    /** Makes time move on sooner while requests wait. */
+    private synchronized void tickSoon() {
+        if (!pending.isEmpty() && !tickScheduled) {
+            tickScheduled = true;
+            timer.after(TICK_MILLIS, () -> {
+                synchronized (this) {
+                    tickScheduled = false;
+                }
+                tick();
+                tickSoon();
+            });
+        }
+    }
+
     /** A new owner of the own zone's pool knows nothing of what the one before it granted. */
     private List<Runnable> noticeOwner(String service, long nowMillis) {
         String pool = ServiceSlots.poolName(settings.zone(), service);
--- a/src/main/java/org/bulrushwheel/server/upstreams/UpstreamService.java
+++ b/src/main/java/org/bulrushwheel/server/upstreams/UpstreamService.java
@@ -2,13 +2,11 @@
 
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
 import com.codahale.metrics.MetricRegistry;
 import org.bulrushwheel.kernel.KernelService;
+import org.bulrushwheel.kernel.ServiceTimer;
 import org.bulrushwheel.logic.time.TimeSource;
 import org.bulrushwheel.logic.upstream.UpstreamDirectory;
 import org.bulrushwheel.model.instance.Instance;
@@ -35,14 +33,14 @@
     private final MetricRegistry metrics;
     private final AtomicReference<UpstreamDirectory> directory = new AtomicReference<>(UpstreamDirectory.EMPTY);
     private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
-    private final ScheduledExecutorService timer =
-            Executors.newSingleThreadScheduledExecutor(new io.netty.util.concurrent.DefaultThreadFactory("upstreams"));
+    private final ServiceTimer timer;
 
     /** A directory that speaks to the peers of the settings. */
     public UpstreamService(Settings settings, PeerNetwork peers, TimeSource time, MetricRegistry metrics) {
         this.settings = settings;
         this.peers = peers;
         this.time = time;
+        this.timer = new ServiceTimer(NAME, metrics);
         this.metrics = metrics;
         peers.handle(Frame.BodyCase.UPSTREAM_UPDATE, (frame, reply) -> onUpdate(frame.getUpstreamUpdate()));
     }
@@ -54,12 +52,12 @@
 
     @Override
     public void start() {
-        timer.scheduleWithFixedDelay(this::sync, SYNC_MILLIS, SYNC_MILLIS, TimeUnit.MILLISECONDS);
+        timer.every(SYNC_MILLIS, this::sync);
     }
 
     @Override
     public void stop() {
-        timer.shutdownNow();
+        timer.close();
     }
 
     /** Returns the directory as it is now. */
--- /dev/null
+++ b/src/test/java/org/bulrushwheel/measure/capacity/CapacityTableTest.java
@@ -0,0 +1,25 @@
+package org.bulrushwheel.measure.capacity;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class CapacityTableTest {
+    @Test
+    void pageHoldsTheTableThatIsPrinted() throws IOException {
+        String page = Files.readString(Path.of("docs/CAPACITY.md"));
+        assertTrue(page.contains(new CapacityTable(Slopes.shipped()).markdown()), "run: measure capacity");
+    }
+
+    @Test
+    void everySlopeNamesItsSourceOnThePage() throws IOException {
+        String page = Files.readString(Path.of("docs/CAPACITY.md"));
+        for (Slopes.Slope slope : Slopes.shipped().slopes()) {
+            assertTrue(page.contains(slope.name()) && page.contains(slope.source()), slope.name());
+        }
+    }
+}
--- a/src/test/java/org/bulrushwheel/server/gateway/GatewayTest.java
+++ b/src/test/java/org/bulrushwheel/server/gateway/GatewayTest.java
@@ -91,6 +91,24 @@
         assertRefused(answer, "deadline-exceeded", "unknown");
     }
 
+    @Test
+    void slowAnswerOnANewConnectionIsWaitedFor() {
+        add("e1");
+        HttpAnswer answer = get("/items?delayMillis=2500");
+
+        assertEquals(200, answer.status(), answer.text());
+        assertEquals(1, deployment.upstreams().get(0).served());
+    }
+
+    @Test
+    void slowAnswerOnAReusedConnectionIsNotCut() {
+        add("e1");
+        awaitAnswer("/items");
+        HttpAnswer answer = get("/items?delayMillis=3000");
+
+        assertEquals(200, answer.status(), answer.text());
+    }
+
     @Test
     void idempotentRequestRecoversFromConnectionsThatWentSilent() throws InterruptedException {
         addSilentAfter("e1", 300);
