--- a/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
@@ -1,14 +1,12 @@
 package org.bulrushwheel.logic.raft;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
 import org.bulrushwheel.model.proto.AppendRequest;
 import org.bulrushwheel.model.proto.AppendResponse;
@@ -37,9 +35,9 @@
     private final RaftTimings timings;
     private final RandomGenerator random;
     private final RaftLog log;
-    private final Map<String, Progress> progressByPeer = new HashMap<>();
+    private final RaftOutbox outbox = new RaftOutbox();
+    private final ReplicationTracker tracker;
     private final Set<String> votes = new HashSet<>();
-    private final TreeMap<Long, List<Long>> readsByRound = new TreeMap<>();
 
     private RaftRole role = RaftRole.FOLLOWER;
     private HardState hardState;
@@ -57,13 +55,6 @@
     /** Whether peers are to be told of entries, commits or a round; once for all that came up since the last ready. */
     private boolean broadcastPending;
 
-    private boolean hardStateChanged;
-    private Optional<SnapshotFile> installed = Optional.empty();
-    private Optional<Long> truncateAfter = Optional.empty();
-    private List<LogEntry> unstored = new ArrayList<>();
-    private List<RaftMessage> messages = new ArrayList<>();
-    private List<Long> confirmedReads = new ArrayList<>();
-
     /**
      * Restores a replica from what it had stored.
      *
@@ -75,6 +66,7 @@
      */
     public RaftNode(String self, StoredState stored, RaftTimings timings, RandomGenerator random, long nowMillis) {
         this.self = self;
+        this.tracker = new ReplicationTracker(self);
         this.timings = timings;
         this.random = random;
         this.nowMillis = nowMillis;
@@ -146,7 +138,7 @@
     public Optional<Long> proposeVoters(Voters voters) {
         boolean settled = log.lastVotersIndex() <= commitIndex;
         boolean termCommitted = log.termAt(commitIndex).orElse(0L) == hardState.getTerm();
-        if (role != RaftRole.LEADER || !settled || !termCommitted || !isSingleChange(voters)) {
+        if (role != RaftRole.LEADER || !settled || !termCommitted || !VoterChanges.isSingle(log.voters(), voters)) {
             return Optional.empty();
         }
         return Optional.of(appendAsLeader(LogEntry.newBuilder().setVoters(voters)));
@@ -158,7 +150,7 @@
             return false;
         }
         round++;
-        readsByRound.computeIfAbsent(round, key -> new ArrayList<>()).add(readId);
+        tracker.awaitRound(round, readId);
         broadcastPending = true;
         confirmReads();
         return true;
@@ -176,21 +168,7 @@
             deliveredIndex++;
             committed.add(log.at(deliveredIndex));
         }
-        RaftReady ready = new RaftReady(
-                hardStateChanged ? Optional.of(hardState) : Optional.empty(),
-                installed,
-                truncateAfter,
-                List.copyOf(unstored),
-                List.copyOf(messages),
-                List.copyOf(committed),
-                List.copyOf(confirmedReads));
-        hardStateChanged = false;
-        installed = Optional.empty();
-        truncateAfter = Optional.empty();
-        unstored = new ArrayList<>();
-        messages = new ArrayList<>();
-        confirmedReads = new ArrayList<>();
-        return ready;
+        return outbox.take(committed);
     }
 
     /** Says that everything of this ready is synced. */
@@ -251,21 +229,17 @@
 
     /** How far a peer's log is known to match this leader's. */
     public long matchIndexOf(String peer) {
-        Progress progress = progressByPeer.get(peer);
-        return progress == null ? 0 : progress.matchIndex();
+        return tracker.matchIndexOf(peer);
     }
 
     /** Whether the peer answered this leader within an election time. */
     public boolean isInContact(String peer) {
-        Progress progress = progressByPeer.get(peer);
-        return progress != null && nowMillis - progress.lastContactMillis() < timings.electionMillis();
+        return tracker.wasHeardWithin(peer, timings.electionMillis(), nowMillis);
     }
 
     private void tickLeader() {
         boolean pastGrace = nowMillis - leaderSinceMillis >= timings.electionMillis();
-        long heard = log.voters().getVotersList().stream()
-                .filter(voter -> voter.equals(self) || isInContact(voter))
-                .count();
+        long heard = tracker.heardVoters(log.voters(), timings.electionMillis(), nowMillis);
         if (pastGrace && heard < quorum()) {
             becomeFollower(hardState.getTerm(), Optional.empty());
             return;
@@ -298,7 +272,7 @@
                 .build();
         for (String voter : log.voters().getVotersList()) {
             if (!voter.equals(self)) {
-                messages.add(message(voter, term).setVoteRequest(request).build());
+                outbox.send(message(voter, term).setVoteRequest(request).build());
             }
         }
     }
@@ -311,8 +285,7 @@
         role = RaftRole.LEADER;
         leader = Optional.of(self);
         leaderSinceMillis = nowMillis;
-        progressByPeer.clear();
-        readsByRound.clear();
+        tracker.clear();
         nextHeartbeatMillis = nowMillis + timings.heartbeatMillis();
         appendAsLeader(LogEntry.newBuilder().setCommand(Command.newBuilder().setNoop(Noop.getDefaultInstance())));
     }
@@ -334,7 +307,7 @@
             resetElectionDeadline();
         }
         long answerTerm = granted ? message.getTerm() : hardState.getTerm();
-        messages.add(message(message.getFrom(), answerTerm)
+        outbox.send(message(message.getFrom(), answerTerm)
                 .setVoteResponse(VoteResponse.newBuilder()
                         .setPreVote(request.getPreVote())
                         .setGranted(granted))
@@ -376,7 +349,7 @@
 
     private void answerStaleLeader(RaftMessage message) {
         if (message.hasAppendRequest() || message.hasInstallSnapshot()) {
-            messages.add(message(message.getFrom(), hardState.getTerm())
+            outbox.send(message(message.getFrom(), hardState.getTerm())
                     .setAppendResponse(AppendResponse.newBuilder().setSuccess(false))
                     .build());
         }
@@ -400,7 +373,7 @@
             commitTo(Math.min(request.getCommitIndex(), last));
             response.setSuccess(true).setMatchIndex(last);
         }
-        messages.add(message(message.getFrom(), hardState.getTerm())
+        outbox.send(message(message.getFrom(), hardState.getTerm())
                 .setAppendResponse(response)
                 .build());
     }
@@ -415,15 +388,14 @@
                 truncate(entry.getIndex() - 1);
             }
             log.append(entry);
-            unstored.add(entry);
+            outbox.store(entry);
         }
     }
 
     private void truncate(long lastKept) {
         log.truncateAfter(lastKept);
-        unstored.removeIf(entry -> entry.getIndex() > lastKept);
         persistedIndex = Math.min(persistedIndex, lastKept);
-        truncateAfter = Optional.of(Math.min(lastKept, truncateAfter.orElse(lastKept)));
+        outbox.truncateAfter(lastKept);
     }
 
     private void onInstallSnapshot(RaftMessage message) {
@@ -434,11 +406,9 @@
             commitIndex = snapshot.getLastIndex();
             deliveredIndex = commitIndex;
             persistedIndex = commitIndex;
-            unstored.clear();
-            truncateAfter = Optional.empty();
-            installed = Optional.of(snapshot);
+            outbox.install(snapshot);
         }
-        messages.add(message(message.getFrom(), hardState.getTerm())
+        outbox.send(message(message.getFrom(), hardState.getTerm())
                 .setAppendResponse(AppendResponse.newBuilder()
                         .setSuccess(true)
                         .setMatchIndex(commitIndex)
@@ -469,21 +439,16 @@
         LogEntry complete =
                 entry.setTerm(hardState.getTerm()).setIndex(log.lastIndex() + 1).build();
         log.append(complete);
-        unstored.add(complete);
+        outbox.store(complete);
         broadcastPending = true;
         return complete.getIndex();
     }
 
     private void broadcastAppend() {
         Voters voters = log.voters();
-        voters.getVotersList().forEach(this::sendAppendToOther);
-        voters.getLearnersList().forEach(this::sendAppendToOther);
-    }
-
-    private void sendAppendToOther(String peer) {
-        if (!peer.equals(self)) {
-            sendAppend(peer);
-        }
+        Stream.concat(voters.getVotersList().stream(), voters.getLearnersList().stream())
+                .filter(peer -> !peer.equals(self))
+                .forEach(this::sendAppend);
     }
 
     private void sendAppend(String peer) {
@@ -495,7 +460,7 @@
             return;
         }
         List<LogEntry> entries = log.from(progress.nextIndex(), MAX_ENTRIES_PER_MESSAGE);
-        messages.add(message(peer, hardState.getTerm())
+        outbox.send(message(peer, hardState.getTerm())
                 .setAppendRequest(AppendRequest.newBuilder()
                         .setPreviousIndex(previous)
                         .setPreviousTerm(previousTerm.get())
@@ -510,14 +475,14 @@
         if (!progress.maySendSnapshot(nowMillis, timings.electionMillis())) {
             return;
         }
-        messages.add(message(peer, hardState.getTerm())
+        outbox.send(message(peer, hardState.getTerm())
                 .setInstallSnapshot(
                         InstallSnapshot.newBuilder().setSnapshot(log.snapshot()).setRound(round))
                 .build());
     }
 
     private void advanceCommit() {
-        long candidate = majorityMatch();
+        long candidate = tracker.majorityMatch(log.voters(), persistedIndex);
         if (candidate > commitIndex && log.termAt(candidate).orElse(0L) == hardState.getTerm()) {
             commitTo(candidate);
             if (!isVoter(self)) {
@@ -528,24 +493,8 @@
         }
     }
 
-    private long majorityMatch() {
-        List<Long> matches = log.voters().getVotersList().stream()
-                .map(voter ->
-                        voter.equals(self) ? persistedIndex : progressOf(voter).matchIndex())
-                .sorted()
-                .toList();
-        return matches.isEmpty() ? 0 : matches.get(matches.size() - quorum());
-    }
-
     private void confirmReads() {
-        List<Long> rounds = log.voters().getVotersList().stream()
-                .map(voter -> voter.equals(self) ? round : progressOf(voter).confirmedRound())
-                .sorted()
-                .toList();
-        long confirmed = rounds.isEmpty() ? 0 : rounds.get(rounds.size() - quorum());
-        while (!readsByRound.isEmpty() && readsByRound.firstKey() <= confirmed) {
-            confirmedReads.addAll(readsByRound.pollFirstEntry().getValue());
-        }
+        outbox.confirm(tracker.takeConfirmedReads(log.voters(), round));
     }
 
     private void commitTo(long index) {
@@ -565,7 +514,7 @@
         role = RaftRole.FOLLOWER;
         leader = newLeader;
         votes.clear();
-        readsByRound.clear();
+        tracker.dropReads();
         if (term > hardState.getTerm()) {
             storeHardState(term, "");
         }
@@ -574,22 +523,13 @@
 
     private void storeHardState(long term, String votedFor) {
         hardState = HardState.newBuilder().setTerm(term).setVotedFor(votedFor).build();
-        hardStateChanged = true;
+        outbox.store(hardState);
     }
 
     private void resetElectionDeadline() {
         electionDeadlineMillis = nowMillis + timings.electionMillis() + random.nextLong(timings.electionMillis());
     }
 
-    private boolean isSingleChange(Voters wanted) {
-        Set<String> before = new HashSet<>(log.voters().getVotersList());
-        Set<String> after = new HashSet<>(wanted.getVotersList());
-        Set<String> added = new HashSet<>(after);
-        added.removeAll(before);
-        before.removeAll(after);
-        return added.size() + before.size() <= 1 && !after.isEmpty();
-    }
-
     private boolean isVoter(String replica) {
         return log.voters().getVotersList().contains(replica);
     }
@@ -599,7 +539,7 @@
     }
 
     private Progress progressOf(String peer) {
-        return progressByPeer.computeIfAbsent(peer, key -> new Progress(log.lastIndex() + 1, nowMillis));
+        return tracker.progressOf(peer, log.lastIndex(), nowMillis);
     }
 
     private RaftMessage.Builder message(String to, long term) {
