--- a/src/main/java/org/bulrushwheel/control/ControlService.java
+++ b/src/main/java/org/bulrushwheel/control/ControlService.java
@@ -163,6 +163,7 @@
         storage = ReplicaStorage.open(folder);
         node = new RaftNode(replica, storage.state(), RaftTimings.DEFAULT, random, time.monotonicMillis());
         restore(storage.state().snapshot());
+        storage.releaseLoadedEntries();
         thread.start();
     }
 
@@ -328,8 +329,7 @@
     private void maybeSnapshot() {
         RaftNode raft = requireNode();
         ReplicaStorage files = requireStorage();
-        if (files.logSizeBytes() < SNAPSHOT_LOG_BYTES
-                || appliedIndex <= files.state().snapshot().getLastIndex()) {
+        if (files.logSizeBytes() < SNAPSHOT_LOG_BYTES || appliedIndex <= files.snapshotIndex()) {
             return;
         }
         SnapshotFile snapshot = SnapshotFile.newBuilder()
--- a/src/main/java/org/bulrushwheel/daemon/Daemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/Daemon.java
@@ -19,7 +19,9 @@
 import org.bulrushwheel.server.caps.ShiftCapService;
 import org.bulrushwheel.server.configuration.ConfigurationService;
 import org.bulrushwheel.server.gateway.GatewayHandler;
+import org.bulrushwheel.server.gateway.GatewayService;
 import org.bulrushwheel.server.gateway.ReplicatedRunLedger;
+import org.bulrushwheel.server.gateway.RunLedger;
 import org.bulrushwheel.server.lookup.LookupHandler;
 import org.bulrushwheel.server.membership.MembershipService;
 import org.bulrushwheel.server.poison.PoisonService;
@@ -65,6 +67,7 @@
         membership.onConfigurationVersion(configuration::onNeighbourVersion);
         SlotService slots = kernel.register(new SlotService(
                 settings, incarnation, peers, membership, upstreams, configuration::current, time, metrics));
+        configuration.onChange(accepted -> slots.configure());
         ShiftCapService caps = kernel.register(new ShiftCapService(
                 settings, peers, configuration::current, () -> control.map(ControlService::status), time, metrics));
         PoisonService poison = kernel.register(new PoisonService(settings, peers, time, metrics));
@@ -79,18 +82,20 @@
         new AdminHandler(client, authorizer, configuration::current, time, answers)
                 .handlers()
                 .forEach(http::handleExact);
-        http.handle(
-                GatewayHandler.PREFIX,
+        RunLedger ledger = new ReplicatedRunLedger(settings.instance(), incarnation, client, membership::isAlive);
+        GatewayService gateway = kernel.register(new GatewayService(
                 new GatewayHandler(
                         settings.instance(),
                         configuration::current,
                         slots,
-                        new ReplicatedRunLedger(settings.instance(), incarnation, client, membership::isAlive),
+                        ledger,
                         caps,
                         poison,
                         time,
                         metrics,
-                        answers));
+                        answers),
+                metrics));
+        http.handle(GatewayHandler.PREFIX, gateway.handler());
     }
 
     /** Starts every service. */
--- a/src/main/java/org/bulrushwheel/logic/steering/ServiceSlots.java
+++ b/src/main/java/org/bulrushwheel/logic/steering/ServiceSlots.java
@@ -29,6 +29,8 @@
 
     private record Waiting(long requestId, Set<String> excluded, long submittedMillis, long deadlineMillis) {}
 
+    private final String service;
+    private final long firstEpoch;
     private final SteeringTimings timings;
     private final Predicate<String> mayUseZone;
     private final Map<String, ZoneSlots> zones = new LinkedHashMap<>();
@@ -53,9 +55,25 @@
             SteeringTimings timings) {
         this.timings = timings;
         this.mayUseZone = mayUseZone;
+        this.service = service;
+        this.firstEpoch = firstEpoch;
+        setPools(pools);
+    }
+
+    /** Sets the pools, the own zone first; what is held of pools that stay is kept. */
+    public void setPools(List<PoolReference> pools) {
+        Map<String, ZoneSlots> before = new LinkedHashMap<>(zones);
+        zones.clear();
         for (PoolReference pool : pools) {
-            zones.put(pool.zone(), new ZoneSlots(pool, new SlotPoolHolder(poolName(pool.zone(), service), firstEpoch)));
+            ZoneSlots known = before.remove(pool.zone());
+            zones.put(
+                    pool.zone(),
+                    known != null
+                            ? known
+                            : new ZoneSlots(pool, new SlotPoolHolder(poolName(pool.zone(), service), firstEpoch)));
         }
+        // Requests may still be running in zones that are gone; their slots come back here.
+        before.forEach(zones::put);
     }
 
     /** Returns the name of a service's pool in a zone. */
--- a/src/main/java/org/bulrushwheel/logic/upstream/UpstreamDirectory.java
+++ b/src/main/java/org/bulrushwheel/logic/upstream/UpstreamDirectory.java
@@ -1,6 +1,7 @@
 package org.bulrushwheel.logic.upstream;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -50,14 +51,22 @@
         return upstreamsById.values();
     }
 
-    /** Returns the endpoints of a service in a zone that may get new work, ordered by name. */
+    /**
+     * Returns the endpoints of a service in a zone that may get new work, ordered by name. When most of them stop to
+     * announce themselves together, the fault is more likely on the way here: the last known ones stay, and outcomes
+     * decide.
+     */
     public List<Upstream> available(String service, String zone, long nowEpochMillis) {
-        return upstreamsById.values().stream()
+        List<Upstream> known = upstreamsById.values().stream()
                 .filter(upstream -> upstream.service().equals(service))
-                .filter(upstream -> upstream.zone().equals(zone))
+                .filter(upstream -> upstream.zone().equals(zone) && !upstream.leaving())
+                .filter(upstream -> upstream.expiresAtEpochMillis() + FORGET_AFTER_MILLIS > nowEpochMillis)
+                .sorted(Comparator.comparing(Upstream::endpoint))
+                .toList();
+        List<Upstream> fresh = known.stream()
                 .filter(upstream -> upstream.isAvailableAt(nowEpochMillis))
-                .sorted(java.util.Comparator.comparing(Upstream::endpoint))
                 .toList();
+        return 2 * fresh.size() < known.size() ? known : fresh;
     }
 
     /** A value that two directories share when they hold the same announcements. */
--- a/src/main/java/org/bulrushwheel/server/slots/SlotService.java
+++ b/src/main/java/org/bulrushwheel/server/slots/SlotService.java
@@ -18,6 +18,7 @@
 import org.bulrushwheel.logic.budget.LinkMeter;
 import org.bulrushwheel.logic.budget.LinkShares;
 import org.bulrushwheel.logic.steering.EndpointLimits;
+import org.bulrushwheel.logic.steering.PoolReference;
 import org.bulrushwheel.logic.steering.ServiceSlots;
 import org.bulrushwheel.logic.steering.SlotAction;
 import org.bulrushwheel.logic.steering.SlotOutcome;
@@ -288,21 +289,26 @@
 
     private ServiceSlots slotsOf(String service) {
         return slotsByService.computeIfAbsent(service, name -> {
-            Configuration current = configuration.get().configuration();
-            List<String> zones =
-                    current.zones().stream().map(AvailabilityZone::name).toList();
-            ServiceSlots slots = new ServiceSlots(
-                    name,
-                    SteeringPlan.pools(settings.zone(), zones, zone -> current.regionOf(zone)
-                            .orElse("")),
-                    this::mayUseZone,
-                    incarnation,
-                    SteeringTimings.DEFAULT);
+            ServiceSlots slots =
+                    new ServiceSlots(name, pools(), this::mayUseZone, incarnation, SteeringTimings.DEFAULT);
             slots.setOrder(Comparator.comparingDouble(endpoint -> reportedLoad(name, endpoint)));
             return slots;
         });
     }
 
+    /** Takes a new configuration, whose zones may be others. */
+    public synchronized void configure() {
+        slotsByService.values().forEach(slots -> slots.setPools(pools()));
+    }
+
+    private List<PoolReference> pools() {
+        Configuration current = configuration.get().configuration();
+        return SteeringPlan.pools(
+                settings.zone(),
+                current.zones().stream().map(AvailabilityZone::name).toList(),
+                zone -> current.regionOf(zone).orElse(""));
+    }
+
     private double reportedLoad(String service, String endpoint) {
         return upstreams
                 .directory()
--- a/src/main/java/org/bulrushwheel/storage/ReplicaStorage.java
+++ b/src/main/java/org/bulrushwheel/storage/ReplicaStorage.java
@@ -134,6 +134,16 @@
         }
     }
 
+    /** Returns the last index that the snapshot covers. */
+    public long snapshotIndex() {
+        return snapshot.getLastIndex();
+    }
+
+    /** Lets go of the entries that were read at the start; the log holds them. */
+    public void releaseLoadedEntries() {
+        entries.clear();
+    }
+
     /** Size of the log file. */
     public long logSizeBytes() {
         return log.sizeBytes();
--- /dev/null
+++ b/src/test/java/org/bulrushwheel/logic/steering/ServiceSlotsTest.java
@@ -0,0 +1,65 @@
+package org.bulrushwheel.logic.steering;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.bulrushwheel.logic.budget.GrantTimings;
+import org.bulrushwheel.logic.budget.SlotPoolOwner;
+import org.bulrushwheel.model.refusal.RefusalReason;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class ServiceSlotsTest {
+    private static final long DEADLINE_MILLIS = 10_000;
+
+    private final ServiceSlots slots =
+            new ServiceSlots("s", List.of(new PoolReference("near", 0)), zone -> true, 1, SteeringTimings.DEFAULT);
+
+    @Test
+    void requestWithoutAnyOwnerWaitsForOne() {
+        slots.submit(1, Set.of(), DEADLINE_MILLIS, 0);
+        assertEquals(List.of(), refusals(slots.tick(2_000)));
+        assertEquals(List.of(new SlotAction.Refuse(1, RefusalReason.NO_UPSTREAM)), refusals(slots.tick(2_500)));
+    }
+
+    @Test
+    void requestIsRefusedWhenEverySlotStaysTaken() {
+        SlotPoolOwner owner = owner(1);
+        answer(owner, slots.submit(1, Set.of(), DEADLINE_MILLIS, 0), 0);
+        slots.tick(1);
+        slots.submit(2, Set.of(), DEADLINE_MILLIS, 10);
+        assertEquals(List.of(new SlotAction.Refuse(2, RefusalReason.CAPACITY_EXHAUSTED)), refusals(slots.tick(300)));
+    }
+
+    @Test
+    void zoneThatIsNewInTheConfigurationIsAskedToo() {
+        slots.setPools(List.of(new PoolReference("near", 0), new PoolReference("far", 3)));
+        slots.submit(1, Set.of(), DEADLINE_MILLIS, 0);
+        assertTrue(slots.tick(5).stream()
+                .anyMatch(action ->
+                        action instanceof SlotAction.Ask ask && ask.zone().equals("far")));
+    }
+
+    private static SlotPoolOwner owner(int limit) {
+        SlotPoolOwner owner = new SlotPoolOwner("near/s", GrantTimings.SLOTS);
+        owner.setLimits(Map.of("e1", limit));
+        return owner;
+    }
+
+    private void answer(SlotPoolOwner owner, List<SlotAction> actions, long now) {
+        for (SlotAction action : actions) {
+            if (action instanceof SlotAction.Ask ask) {
+                owner.onRequest("me", false, ask.request(), now)
+                        .values()
+                        .forEach(grant -> slots.onGrant("near", grant, now));
+            }
+        }
+    }
+
+    private static List<SlotAction> refusals(List<SlotAction> actions) {
+        return actions.stream().filter(SlotAction.Refuse.class::isInstance).toList();
+    }
+}
