End answers that stall half way at their deadline

Cause: once the head of an answer had gone out, nothing bounded the rest; a stalled upstream held caller and slot for good.

--- a/src/main/java/org/bulrushwheel/server/gateway/GatewayExchange.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/GatewayExchange.java
@@ -22,6 +22,7 @@
 import org.bulrushwheel.model.refusal.RefusalReason;
 import org.bulrushwheel.model.refusal.RunState;
 import org.bulrushwheel.server.HttpAnswers;
+import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
@@ -285,7 +286,7 @@
             services.metrics().counter("gateway.answers.cut").inc();
             attempt.connection.ifPresent(connection -> services.connections().discard(connection, false));
         }
-        org.xnio.IoUtils.safeClose(exchange.getConnection());
+        IoUtils.safeClose(exchange.getConnection());
     }
 
     private void onShed(Attempt attempt) {
@@ -372,7 +373,11 @@
      * that answers wins. On a new connection the endpoint is merely slow.
      */
     private void onTimer(Attempt attempt) {
-        if (attempt.finished || exchange.isResponseStarted()) {
+        if (attempt.finished) {
+            return;
+        }
+        if (exchange.isResponseStarted()) {
+            onTimerWhileStreaming(attempt);
             return;
         }
         if (attempt.connection.isEmpty()) {
@@ -397,6 +402,15 @@
         }
     }
 
+    /** An answer that stalls on its way is cut at the deadline, so that it cannot hold the caller and the slot for good. */
+    private void onTimerWhileStreaming(Attempt attempt) {
+        if (remainingMillis() <= 0) {
+            onStreamBroken(attempt);
+        } else {
+            startTimer(attempt);
+        }
+    }
+
     private boolean mayRetry() {
         return attempts < MAX_ATTEMPTS
                 && crashes <= MAX_CRASH_RETRIES
--- a/src/main/java/org/bulrushwheel/server/gateway/ReplicatedRunLedger.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/ReplicatedRunLedger.java
@@ -1,6 +1,7 @@
 package org.bulrushwheel.server.gateway;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
 
 import org.bulrushwheel.control.ControlClient;
@@ -58,10 +59,7 @@
             complete.setAnswer(answer);
         }
         return control.propose(command().setCompleteKey(complete).build(), BACKGROUND_TIMEOUT_MILLIS)
-                .completeOnTimeout(
-                        CommandResult.getDefaultInstance(),
-                        COMPLETE_TIMEOUT_MILLIS,
-                        java.util.concurrent.TimeUnit.MILLISECONDS);
+                .completeOnTimeout(CommandResult.getDefaultInstance(), COMPLETE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -78,10 +76,7 @@
                 .setClaimId(claim.getClaimId())
                 .build();
         return control.propose(command().setReleaseKey(release).build(), BACKGROUND_TIMEOUT_MILLIS)
-                .completeOnTimeout(
-                        CommandResult.getDefaultInstance(),
-                        COMPLETE_TIMEOUT_MILLIS,
-                        java.util.concurrent.TimeUnit.MILLISECONDS);
+                .completeOnTimeout(CommandResult.getDefaultInstance(), COMPLETE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/src/main/java/org/bulrushwheel/server/status/StatusHandler.java
+++ b/src/main/java/org/bulrushwheel/server/status/StatusHandler.java
@@ -9,6 +9,7 @@
 import org.bulrushwheel.model.config.VersionedConfiguration;
 import org.bulrushwheel.model.instance.Instance;
 import org.bulrushwheel.server.HttpAnswers;
+import org.jspecify.annotations.Nullable;
 
 /**
  * {@code GET /v1/status}: what this instance is and which version it has in force.
@@ -55,7 +56,7 @@
             String region,
             long incarnation,
             long configurationVersion,
-            @org.jspecify.annotations.Nullable ReplicaStatus replica) {}
+            @Nullable ReplicaStatus replica) {}
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
--- a/src/main/java/org/bulrushwheel/standin/StandInUpstream.java
+++ b/src/main/java/org/bulrushwheel/standin/StandInUpstream.java
@@ -1,5 +1,6 @@
 package org.bulrushwheel.standin;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
@@ -9,6 +10,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.undertow.Undertow;
+import io.undertow.io.IoCallback;
+import io.undertow.io.Sender;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
 import io.undertow.util.AttachmentKey;
@@ -19,7 +22,7 @@
 
 /**
  * HTTP server that stands in for one upstream endpoint. Query parameters of a request choose what happens to it:
- * {@code delayMillis}, {@code bytes}, {@code crash}, {@code cut} and {@code hang}.
+ * {@code delayMillis}, {@code bytes}, {@code crash}, {@code cut}, {@code stall} and {@code hang}.
  *
  * <p>Thread safe; start and stop are called once each.
  */
@@ -191,9 +194,12 @@
         Arrays.fill(body, (byte) behaviour.endpoint().charAt(0));
         System.arraycopy(requestBody, 0, body, 0, Math.min(bytes, requestBody.length));
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/octet-stream");
-        if (exchange.getQueryParameters().containsKey("cut")) {
+        boolean cut = exchange.getQueryParameters().containsKey("cut");
+        boolean stall = exchange.getQueryParameters().containsKey("stall");
+        if (cut || stall) {
             exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, bytes + 1L);
-            exchange.getResponseSender().send(ByteBuffer.wrap(body), new CutAfterSend());
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> exchange.getResponseSender()
+                    .send(ByteBuffer.wrap(body), new EndEarly(cut)));
             return;
         }
         exchange.getResponseSender().send(ByteBuffer.wrap(body));
@@ -229,16 +235,17 @@
                 .map(Long::valueOf);
     }
 
-    /** Ends the connection before the body is whole. */
-    private static final class CutAfterSend implements io.undertow.io.IoCallback {
+    /** Leaves the body a byte short and ends the connection, or leaves it open without another byte. */
+    private record EndEarly(boolean cut) implements IoCallback {
         @Override
-        public void onComplete(HttpServerExchange exchange, io.undertow.io.Sender sender) {
-            IoUtils.safeClose(exchange.getConnection());
+        public void onComplete(HttpServerExchange exchange, Sender sender) {
+            if (cut) {
+                IoUtils.safeClose(exchange.getConnection());
+            }
         }
 
         @Override
-        public void onException(
-                HttpServerExchange exchange, io.undertow.io.Sender sender, java.io.IOException exception) {
+        public void onException(HttpServerExchange exchange, Sender sender, IOException exception) {
             IoUtils.safeClose(exchange.getConnection());
         }
     }
--- a/src/test/java/org/bulrushwheel/server/gateway/GatewayTest.java
+++ b/src/test/java/org/bulrushwheel/server/gateway/GatewayTest.java
@@ -84,6 +84,16 @@
         assertEquals(0, get("/items?cut=1&bytes=1000000").status());
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {100, 1_000_000})
+    void answerThatStallsHalfWayEndsVisiblyAtTheDeadline(int bytes) {
+        add("e1");
+        HttpAnswer answer = call(
+                "GET", "/items?stall=1&bytes=" + bytes, Map.of("Bulrushwheel-Timeout-Millis", "1500"), new byte[0]);
+
+        assertTrue(answer.status() == 0 || answer.status() == 504, answer.status() + " " + answer.text());
+    }
+
     @Test
     void requestThatGetsNoAnswerEndsAtItsDeadline() {
         add("e1");
