--- /dev/null
+++ b/src/main/java/org/bulrushwheel/cli/FleetOptions.java
@@ -0,0 +1,43 @@
+package org.bulrushwheel.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+
+import org.bulrushwheel.daemon.SettingsWatch;
+import org.bulrushwheel.logic.settings.SettingsReader;
+import org.bulrushwheel.model.settings.FleetSettings;
+import picocli.CommandLine.Option;
+
+/** Options of the processes of a deployment that is found from seeds. */
+final class FleetOptions {
+    @Option(
+            names = "--settings",
+            defaultValue = "${env:BULRUSHWHEEL_NODE_FILE}",
+            description = "TOML file with the settings of this instance (default: the path in BULRUSHWHEEL_NODE_FILE).")
+    private Path settingsPath;
+
+    SettingsWatch watch() {
+        try {
+            String document = Files.readString(settingsPath);
+            FleetSettings settings = SettingsReader.readFleet(document)
+                    .getOrElseThrow(faults -> new UsageException(settingsPath + ": " + String.join("; ", faults)));
+            return new SettingsWatch(settingsPath, document, settings);
+        } catch (IOException e) {
+            throw new UsageException("cannot read " + settingsPath + "; name a readable file with --settings");
+        }
+    }
+
+    /** Closes the daemon at the signal to stop and waits for that. */
+    static void runUntilStopped(SettingsWatch watch, Runnable start, Runnable close) throws InterruptedException {
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            close.run();
+            stopped.countDown();
+        }));
+        watch.start();
+        start.run();
+        stopped.await();
+    }
+}
--- a/src/main/java/org/bulrushwheel/cli/Main.java
+++ b/src/main/java/org/bulrushwheel/cli/Main.java
@@ -16,6 +16,8 @@
         subcommands = {
             QuickstartCommand.class,
             ServeCommand.class,
+            EntryCommand.class,
+            ControlInstanceCommand.class,
             ConfigCommand.class,
             ControlCommand.class,
             LookupCommand.class,
--- a/src/main/java/org/bulrushwheel/control/ControlClient.java
+++ b/src/main/java/org/bulrushwheel/control/ControlClient.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
 import org.bulrushwheel.kernel.KernelService;
@@ -32,7 +33,7 @@
     private static final long TRY_TIMEOUT_MILLIS = 700;
     private static final long RETRY_PAUSE_MILLIS = 20;
 
-    private final List<String> replicas;
+    private final Supplier<List<String>> replicas;
     private final PeerNetwork peers;
     private final TimeSource time;
     private final MetricRegistry metrics;
@@ -40,14 +41,24 @@
 
     /** A client of the control instances in the settings. */
     public ControlClient(Settings settings, PeerNetwork peers, TimeSource time, MetricRegistry metrics) {
-        this.replicas = settings.instances().stream()
-                .filter(Instance::control)
-                .map(Instance::name)
-                .toList();
+        this(replicasOf(settings), peers, time, metrics);
+    }
+
+    /** A client of replicas that may change. */
+    public ControlClient(Supplier<List<String>> replicas, PeerNetwork peers, TimeSource time, MetricRegistry metrics) {
+        this.replicas = replicas;
         this.peers = peers;
         this.time = time;
         this.metrics = metrics;
-        this.leader = replicas.isEmpty() ? "" : replicas.get(0);
+        this.leader = "";
+    }
+
+    private static Supplier<List<String>> replicasOf(Settings settings) {
+        List<String> names = settings.instances().stream()
+                .filter(Instance::control)
+                .map(Instance::name)
+                .toList();
+        return () -> names;
     }
 
     @Override
@@ -89,10 +100,11 @@
 
     private CompletableFuture<Optional<Frame>> ask(Frame frame, long timeoutMillis) {
         long deadlineMillis = time.monotonicMillis() + timeoutMillis;
-        if (replicas.isEmpty()) {
+        List<String> known = replicas.get();
+        if (known.isEmpty()) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
-        return attempt(frame, leader, deadlineMillis);
+        return attempt(frame, known.contains(leader) ? leader : known.get(0), deadlineMillis);
     }
 
     private CompletableFuture<Optional<Frame>> attempt(Frame frame, String target, long deadlineMillis) {
@@ -127,6 +139,7 @@
     }
 
     private String after(String target) {
-        return replicas.get((replicas.indexOf(target) + 1) % replicas.size());
+        List<String> known = replicas.get();
+        return known.isEmpty() ? target : known.get((known.indexOf(target) + 1) % known.size());
     }
 }
--- a/src/main/java/org/bulrushwheel/control/ControlService.java
+++ b/src/main/java/org/bulrushwheel/control/ControlService.java
@@ -19,6 +19,8 @@
 import com.codahale.metrics.MetricRegistry;
 import org.bulrushwheel.kernel.KernelService;
 import org.bulrushwheel.logic.control.ControlState;
+import org.bulrushwheel.logic.fleet.FleetState;
+import org.bulrushwheel.logic.raft.LostVoters;
 import org.bulrushwheel.logic.raft.RaftNode;
 import org.bulrushwheel.logic.raft.RaftReady;
 import org.bulrushwheel.logic.raft.RaftRole;
@@ -59,17 +61,21 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(ControlService.class);
     private static final long TICK_MILLIS = 20;
     private static final long JOIN_PAUSE_MILLIS = 500;
+    private static final long REMOVAL_PAUSE_MILLIS = 1_000;
+    // Longer than any restart; a replica that comes back later joins again with the log that it has.
+    private static final long LOST_VOTER_MILLIS = 12_000;
     private static final long SNAPSHOT_LOG_BYTES = 32L * 1024 * 1024;
     private static final long ENTRIES_KEPT = 1_000;
     private static final int MAX_BATCH = 512;
 
-    private final Settings settings;
+    private final ReplicaSettings settings;
     private final PeerNetwork peers;
     private final TimeSource time;
     private final RandomGenerator random;
     private final MetricRegistry metrics;
     private final LinkedBlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
     private final List<Consumer<VersionedConfiguration>> listeners = new CopyOnWriteArrayList<>();
+    private final List<Consumer<FleetState>> fleetListeners = new CopyOnWriteArrayList<>();
     private final PendingProposals proposals = new PendingProposals();
     private final Map<Long, Runnable> pendingReads = new HashMap<>();
     private final ControlState state = new ControlState();
@@ -82,6 +88,8 @@
     private long appliedIndex;
     private long nextReadId;
     private long nextJoinMillis;
+    private long nextRemovalMillis;
+    private long announcedRevision;
     private RaftRole lastRole = RaftRole.FOLLOWER;
     private volatile boolean stopping;
     private volatile ReplicaStatus status = ReplicaStatus.STARTING;
@@ -89,6 +97,16 @@
     /** A replica in the data folder of the settings. */
     public ControlService(
             Settings settings, PeerNetwork peers, TimeSource time, RandomGenerator random, MetricRegistry metrics) {
+        this(ReplicaSettings.of(settings), peers, time, random, metrics);
+    }
+
+    /** A replica that finds the others by these settings. */
+    public ControlService(
+            ReplicaSettings settings,
+            PeerNetwork peers,
+            TimeSource time,
+            RandomGenerator random,
+            MetricRegistry metrics) {
         this.settings = settings;
         this.peers = peers;
         this.time = time;
@@ -105,9 +123,7 @@
                 .thenAccept(answer -> answer.ifPresentOrElse(
                         found -> reply.accept(Frame.newBuilder().setReadAnswer(found)),
                         () -> reply.accept(Frame.newBuilder().setCommandResult(PendingProposals.notLeader())))));
-        peers.handle(
-                Frame.BodyCase.JOIN_REQUEST,
-                (frame, reply) -> inbox.add(() -> onJoin(frame.getJoinRequest().getReplica())));
+        peers.handle(Frame.BodyCase.JOIN_REQUEST, (frame, reply) -> inbox.add(() -> onJoin(frame.getJoinRequest())));
     }
 
     /** Prepares the data folder of a replica of a new deployment whose first voters are these instances. */
@@ -132,6 +148,16 @@
         listeners.add(listener);
     }
 
+    /** Adds a listener for changes of the fleet; called on the control thread. */
+    public void onFleet(Consumer<FleetState> listener) {
+        fleetListeners.add(listener);
+    }
+
+    /** Runs work with the state on the control thread. */
+    public void execute(Consumer<ControlState> work) {
+        inbox.add(() -> work.accept(state));
+    }
+
     /** Sets who answers a fetch once a majority has confirmed that this replica leads. */
     public void onConfirmedFetch(ConfirmedFetchListener listener) {
         fetchListener = listener;
@@ -151,7 +177,7 @@
 
     @Override
     public void start() {
-        Path folder = settings.dataPath().orElseThrow();
+        Path folder = settings.dataFolder();
         Optional<String> stored = ReplicaStorage.identity(folder);
         if (stored.isEmpty()) {
             ReplicaId fresh = new ReplicaId(
@@ -244,9 +270,11 @@
         batch.forEach(Runnable::run);
         requireNode().tick(time.monotonicMillis());
         askToJoin();
+        removeLostVoter();
         handleReady();
         maybeSnapshot();
         publishStatus();
+        announceFleet();
     }
 
     private void handleReady() {
@@ -273,6 +301,9 @@
         if (request.getHistory()) {
             answer.addAllHistory(state.history());
         }
+        if (request.getTraffic()) {
+            answer.setTraffic(state.fleet().traffic());
+        }
         return answer.build();
     }
 
@@ -350,17 +381,23 @@
             return;
         }
         nextJoinMillis = now + JOIN_PAUSE_MILLIS;
-        settings.peers().stream()
-                .filter(peer -> peer.control())
+        settings.joinTargets().get().stream()
+                .filter(peer -> !peer.equals(settings.instance()))
                 .forEach(peer -> peers.send(
-                        peer.name(),
+                        peer,
                         Frame.newBuilder()
                                 .setJoinRequest(JoinRequest.newBuilder().setReplica(replica))));
     }
 
-    private void onJoin(String joining) {
+    private void onJoin(JoinRequest request) {
         RaftNode raft = requireNode();
+        String joining = request.getReplica();
         if (raft.role() != RaftRole.LEADER) {
+            if (!request.getForwarded() && raft.leader().isPresent()) {
+                peers.send(
+                        leaderInstance(),
+                        Frame.newBuilder().setJoinRequest(request.toBuilder().setForwarded(true)));
+            }
             return;
         }
         boolean caughtUp = raft.isInContact(joining) && raft.matchIndexOf(joining) >= raft.commitIndex();
@@ -368,6 +405,25 @@
                 .ifPresent(raft::proposeVoters);
     }
 
+    private void removeLostVoter() {
+        RaftNode raft = requireNode();
+        long now = time.monotonicMillis();
+        if (raft.role() != RaftRole.LEADER || !settings.removesLostVoters() || now < nextRemovalMillis) {
+            return;
+        }
+        nextRemovalMillis = now + REMOVAL_PAUSE_MILLIS;
+        LostVoters.nextChange(raft.voters(), raft.votersSilentFor(LOST_VOTER_MILLIS))
+                .ifPresent(raft::proposeVoters);
+    }
+
+    private void announceFleet() {
+        long revision = state.fleet().revision();
+        if (revision != announcedRevision) {
+            announcedRevision = revision;
+            fleetListeners.forEach(listener -> listener.accept(state.fleet()));
+        }
+    }
+
     private void publishStatus() {
         RaftNode raft = requireNode();
         if (raft.role() != lastRole) {
@@ -390,6 +446,7 @@
                 appliedIndex,
                 raft.voters().getVotersList(),
                 raft.voters().getLearnersList(),
+                raft.hearsLeader(),
                 true);
     }
 
--- a/src/main/java/org/bulrushwheel/control/ReplicaStatus.java
+++ b/src/main/java/org/bulrushwheel/control/ReplicaStatus.java
@@ -17,6 +17,7 @@
  * @param appliedIndex last applied index
  * @param voters voting replicas
  * @param learners replicas that catch up
+ * @param hearsLeader whether it leads or hears a leader
  * @param running whether its thread runs
  */
 public record ReplicaStatus(
@@ -28,14 +29,15 @@
         long appliedIndex,
         List<String> voters,
         List<String> learners,
+        boolean hearsLeader,
         boolean running) {
     /** Before the first batch. */
     public static final ReplicaStatus STARTING =
-            new ReplicaStatus("", RaftRole.FOLLOWER, 0, "", 0, 0, List.of(), List.of(), false);
+            new ReplicaStatus("", RaftRole.FOLLOWER, 0, "", 0, 0, List.of(), List.of(), false, false);
 
     /** Returns the same status of a replica that no longer runs. */
     public ReplicaStatus stopped() {
         return new ReplicaStatus(
-                replica, RaftRole.FOLLOWER, term, "", commitIndex, appliedIndex, voters, learners, false);
+                replica, RaftRole.FOLLOWER, term, "", commitIndex, appliedIndex, voters, learners, false, false);
     }
 }
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/daemon/EdgeDaemon.java
@@ -0,0 +1,98 @@
+package org.bulrushwheel.daemon;
+
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.bulrushwheel.kernel.Kernel;
+import org.bulrushwheel.logic.placement.PlacementSettings;
+import org.bulrushwheel.logic.time.SystemTimeSource;
+import org.bulrushwheel.logic.time.TimeSource;
+import org.bulrushwheel.model.instance.Address;
+import org.bulrushwheel.model.proto.EntryRecord;
+import org.bulrushwheel.model.settings.FleetSettings;
+import org.bulrushwheel.server.api.ApiServer;
+import org.bulrushwheel.server.edge.EdgeServer;
+import org.bulrushwheel.server.edge.EdgeSettings;
+import org.bulrushwheel.server.fleet.FleetSubscription;
+import org.bulrushwheel.wire.PeerNetwork;
+
+/**
+ * Entry instance of a deployment that is found from seeds; one event loop does all its work.
+ *
+ * <p>Thread safe; start and stop are called once.
+ */
+public final class EdgeDaemon implements AutoCloseable {
+    // The rest of the grace covers the end of the process itself.
+    private static final long END_MILLIS = 400;
+
+    private final FleetSettings settings;
+    private final Kernel kernel = new Kernel();
+
+    /** A process with these settings; nothing runs before the start. */
+    public EdgeDaemon(FleetSettings settings, SettingsWatch watch, FleetInterfaces interfaces) {
+        this.settings = settings;
+        MetricRegistry metrics = new MetricRegistry();
+        TimeSource time = new SystemTimeSource();
+        EventLoopGroup loops = new MultiThreadIoEventLoopGroup(
+                1, new DefaultThreadFactory("network", true), NioIoHandler.newFactory());
+        EventLoop loop = (EventLoop) loops.next();
+        PeerNetwork peers = kernel.register(
+                new PeerNetwork(settings.peerAddress(), Address.parse(settings.peerAddress()), loops, metrics));
+        String callerAddress = java.util.Objects.requireNonNull(settings.callerAddress(), "callerAddress is missing");
+        EdgeServer edge =
+                kernel.register(new EdgeServer(edgeSettings(callerAddress), interfaces.headers(), loop, time, metrics));
+        FleetSubscription subscription = kernel.register(new FleetSubscription(
+                EntryRecord.newBuilder()
+                        .setPeerAddress(settings.peerAddress())
+                        .setZone(settings.zone())
+                        .setRegion(settings.region())
+                        .setCallerAddress(callerAddress)
+                        .setIncarnation(time.epochMillis())
+                        .build(),
+                () -> watch.current().seedPeers(),
+                settings.regionsByZone(),
+                interfaces.trafficCodec(),
+                peers,
+                loop,
+                time,
+                metrics));
+        subscription.onView(edge::use);
+        kernel.register(new ApiServer(
+                "readiness-api",
+                Address.parse(
+                        java.util.Objects.requireNonNull(settings.readinessAddress(), "readinessAddress is missing")),
+                loops,
+                interfaces.readiness(subscription::isReady),
+                metrics));
+    }
+
+    /** Starts every service. */
+    public void start() {
+        kernel.start();
+    }
+
+    /** Leaves look-ups, serves what is in flight and stops. */
+    @Override
+    public void close() {
+        long graceMillis = settings.bounds().stopGraceMillis() - END_MILLIS;
+        kernel.stop(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(graceMillis));
+    }
+
+    private EdgeSettings edgeSettings(String callerAddress) {
+        return new EdgeSettings(
+                Address.parse(callerAddress),
+                new PlacementSettings(
+                        settings.region(),
+                        settings.regions(),
+                        settings.bounds().coldLoadFactor(),
+                        settings.bounds().coldSlackRequests()),
+                settings.bounds().retryWindowMillis(),
+                settings.bounds().retryRatio(),
+                settings.bounds().retrySlack());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/daemon/FleetControlDaemon.java
@@ -0,0 +1,164 @@
+package org.bulrushwheel.daemon;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletionStage;
+import java.util.random.RandomGenerator;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.bulrushwheel.control.ControlClient;
+import org.bulrushwheel.control.ControlService;
+import org.bulrushwheel.control.ReplicaSettings;
+import org.bulrushwheel.kernel.Kernel;
+import org.bulrushwheel.logic.fleet.EntryChoice;
+import org.bulrushwheel.logic.raft.ReplicaId;
+import org.bulrushwheel.logic.time.SystemTimeSource;
+import org.bulrushwheel.logic.time.TimeSource;
+import org.bulrushwheel.model.instance.Address;
+import org.bulrushwheel.model.proto.EndpointRecord;
+import org.bulrushwheel.model.proto.TrafficDocument;
+import org.bulrushwheel.model.settings.FleetSettings;
+import org.bulrushwheel.server.api.ApiServer;
+import org.bulrushwheel.server.fleet.EndpointRegistry;
+import org.bulrushwheel.server.fleet.EntryDirectory;
+import org.bulrushwheel.server.fleet.FleetAdministration;
+import org.bulrushwheel.server.fleet.FleetPublisher;
+import org.bulrushwheel.server.fleet.FleetServices;
+import org.bulrushwheel.storage.ReplicaStorage;
+import org.bulrushwheel.wire.PeerNetwork;
+
+/**
+ * Control instance of a deployment that is found from seeds.
+ *
+ * <p>Thread safe; start and stop are called once.
+ */
+public final class FleetControlDaemon implements AutoCloseable {
+    // Announcements may come seconds late; four in a row don't.
+    private static final int ANNOUNCEMENTS_MISSED = 4;
+    // Answers under way are written by then.
+    private static final long DRAIN_MILLIS = 300;
+
+    private final FleetSettings settings;
+    private final Kernel kernel = new Kernel();
+
+    /** A process with these settings; nothing runs before the start. */
+    public FleetControlDaemon(FleetSettings settings, SettingsWatch watch, FleetInterfaces interfaces) {
+        this.settings = settings;
+        MetricRegistry metrics = new MetricRegistry();
+        TimeSource time = new SystemTimeSource();
+        EventLoopGroup loops = new MultiThreadIoEventLoopGroup(
+                1, new DefaultThreadFactory("network", true), NioIoHandler.newFactory());
+        PeerNetwork peers = kernel.register(
+                new PeerNetwork(settings.peerAddress(), Address.parse(settings.peerAddress()), loops, metrics));
+        ControlService control = kernel.register(new ControlService(
+                new ReplicaSettings(
+                        settings.peerAddress(),
+                        settings.dataPath().orElseThrow(),
+                        () -> watch.current().seedPeers(),
+                        true),
+                peers,
+                time,
+                RandomGenerator.getDefault(),
+                metrics));
+        ControlClient client = kernel.register(new ControlClient(() -> replicas(control), peers, time, metrics));
+        EndpointRegistry registry = kernel.register(new EndpointRegistry(
+                control, client, peers, settings.bounds().announcementMillis() * ANNOUNCEMENTS_MISSED, time, metrics));
+        EntryDirectory directory = new EntryDirectory(time);
+        kernel.register(new FleetPublisher(settings.peerAddress(), control, directory, peers, time, metrics));
+        FleetServices services = new ControlServices(
+                new FleetAdministration(client, interfaces.trafficCodec()),
+                registry,
+                directory,
+                settings.bounds().lookupValidSeconds());
+        kernel.register(new ApiServer(
+                "control-api",
+                Address.parse(java.util.Objects.requireNonNull(settings.controlAddress(), "controlAddress is missing")),
+                loops,
+                interfaces.control(services),
+                metrics));
+        kernel.register(new ApiServer(
+                "lookup-api",
+                Address.parse(java.util.Objects.requireNonNull(settings.lookupAddress(), "lookupAddress is missing")),
+                loops,
+                interfaces.lookup(services),
+                metrics));
+    }
+
+    /** Starts every service; the seeds of a first start are its first voters. */
+    public void start() {
+        boolean founds = settings.firstStart() && settings.seedPeers().contains(settings.peerAddress());
+        java.nio.file.Path folder = settings.dataPath().orElseThrow();
+        if (founds && ReplicaStorage.identity(folder).isEmpty()) {
+            ControlService.bootstrap(folder, settings.peerAddress(), settings.seedPeers());
+        }
+        kernel.start();
+    }
+
+    /** Ends calls under way and stops every service. */
+    @Override
+    public void close() {
+        try {
+            Thread.sleep(DRAIN_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        kernel.stop(System.nanoTime());
+    }
+
+    /** Replicas to ask, the leader first as far as it is known. */
+    private List<String> replicas(ControlService control) {
+        Set<String> known = new LinkedHashSet<>();
+        Optional.of(control.status().leader())
+                .filter(leader -> !leader.isEmpty())
+                .ifPresent(known::add);
+        control.status()
+                .voters()
+                .forEach(voter -> known.add(ReplicaId.parse(voter).instance()));
+        return List.copyOf(known);
+    }
+
+    private record ControlServices(
+            FleetAdministration administration,
+            EndpointRegistry registry,
+            EntryDirectory directory,
+            double lookupValidSeconds)
+            implements FleetServices {
+        @Override
+        public CompletionStage<FleetAdministration.Outcome> replaceTraffic(byte[] document) {
+            return administration.replaceTraffic(document);
+        }
+
+        @Override
+        public CompletionStage<Optional<TrafficDocument>> readTraffic() {
+            return administration.readTraffic();
+        }
+
+        @Override
+        public CompletionStage<FleetAdministration.Outcome> setEvacuation(String zone, boolean active) {
+            return administration.setEvacuation(zone, active);
+        }
+
+        @Override
+        public CompletionStage<Boolean> announce(EndpointRecord record) {
+            return registry.announce(record);
+        }
+
+        @Override
+        public CompletionStage<Boolean> leave(String endpointId) {
+            return registry.leave(endpointId);
+        }
+
+        @Override
+        public List<Address> entriesFor(String zone, String region) {
+            return EntryChoice.forCaller(directory.serving(), zone, region).stream()
+                    .map(entry -> Address.parse(entry.getCallerAddress()))
+                    .toList();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/daemon/SettingsWatch.java
@@ -0,0 +1,80 @@
+package org.bulrushwheel.daemon;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vavr.control.Either;
+import org.bulrushwheel.kernel.KernelService;
+import org.bulrushwheel.kernel.ServiceTimer;
+import org.bulrushwheel.logic.settings.SettingsReader;
+import org.bulrushwheel.model.settings.FleetSettings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Reads the settings file again when it changes, with or without a signal.
+ *
+ * <p>Invariant: settings that can't be read change nothing. Thread safe.
+ */
+public final class SettingsWatch implements KernelService {
+    /** Name in the kernel. */
+    public static final String NAME = "settings-watch";
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(SettingsWatch.class);
+    private static final long POLL_MILLIS = 1_000;
+
+    private final Path file;
+    private final ServiceTimer timer;
+    private volatile FleetSettings current;
+    private String document;
+
+    /** A watch of a file that has been read. */
+    public SettingsWatch(Path file, String document, FleetSettings settings) {
+        this.file = file;
+        this.document = document;
+        this.current = settings;
+        this.timer = new ServiceTimer(NAME, new MetricRegistry());
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public void start() {
+        timer.every(POLL_MILLIS, this::readAgain);
+    }
+
+    @Override
+    public void stop() {
+        timer.close();
+    }
+
+    /** Returns the settings as they were read last. */
+    public FleetSettings current() {
+        return current;
+    }
+
+    private synchronized void readAgain() {
+        try {
+            String latest = Files.readString(file);
+            if (latest.equals(document)) {
+                return;
+            }
+            document = latest;
+            Either<List<String>, FleetSettings> read = SettingsReader.readFleet(latest);
+            if (read.isRight()) {
+                current = read.get();
+                LOGGER.info("settings read again, seeds={}", current.seeds());
+            } else {
+                LOGGER.warn("settings stay as they were: {}", read.getLeft());
+            }
+        } catch (IOException e) {
+            LOGGER.warn("cannot read {}; settings stay as they were", file, e);
+        }
+    }
+}
--- a/src/main/java/org/bulrushwheel/logic/control/ControlState.java
+++ b/src/main/java/org/bulrushwheel/logic/control/ControlState.java
@@ -10,6 +10,7 @@
 import org.bulrushwheel.logic.config.ConfigurationCodec;
 import org.bulrushwheel.logic.config.ConfigurationDelta;
 import org.bulrushwheel.logic.config.ShiftCalendar;
+import org.bulrushwheel.logic.fleet.FleetState;
 import org.bulrushwheel.logic.ledger.RunLedgerState;
 import org.bulrushwheel.model.config.Configuration;
 import org.bulrushwheel.model.config.VersionedConfiguration;
@@ -31,6 +32,7 @@
     private static final int CHANGES_KEPT = 10_000;
 
     private final RunLedgerState ledger = new RunLedgerState();
+    private final FleetState fleet = new FleetState();
     private final LinkedHashMap<String, ChangeRecord> changes = new LinkedHashMap<>();
     private final Map<String, PutOperator> operators = new LinkedHashMap<>();
     private VersionedConfiguration current = VersionedConfiguration.NONE;
@@ -43,6 +45,9 @@
             case COMPLETE_KEY -> ledger.complete(command.getCompleteKey(), command.getProposedAtEpochMillis());
             case RELEASE_KEY -> ledger.release(command.getReleaseKey());
             case PUT_OPERATOR -> putOperator(command);
+            case REPLACE_TRAFFIC -> fleet.replaceTraffic(command.getReplaceTraffic());
+            case SET_EVACUATION -> fleet.setEvacuation(command.getSetEvacuation());
+            case PUT_ENDPOINTS -> fleet.putEndpoints(command.getPutEndpoints());
             default -> result(CommandResult.Kind.DONE, "").build();
         };
     }
@@ -52,6 +57,11 @@
         return current;
     }
 
+    /** Returns the state of the fleet. */
+    public FleetState fleet() {
+        return fleet;
+    }
+
     /** Returns the accepted and refused changes, oldest first. */
     public List<ChangeRecord> history() {
         return List.copyOf(changes.values());
@@ -82,6 +92,7 @@
                 .addAllKeys(ledger.records())
                 .addAllChanges(changes.values())
                 .addAllOperators(operators.values())
+                .setFleet(fleet.snapshot())
                 .build();
     }
 
@@ -89,6 +100,7 @@
     public void restore(ControlSnapshot snapshot) {
         current = read(snapshot.getVersion(), snapshot.getDocument());
         ledger.restore(snapshot.getKeysList());
+        fleet.restore(snapshot.getFleet());
         changes.clear();
         snapshot.getChangesList().forEach(change -> changes.put(change.getChangeId(), change));
         operators.clear();
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/logic/fleet/FleetView.java
@@ -0,0 +1,193 @@
+package org.bulrushwheel.logic.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.bulrushwheel.model.proto.EndpointRecord;
+import org.bulrushwheel.model.proto.FleetUpdate;
+import org.bulrushwheel.model.proto.ZoneEvacuation;
+import org.bulrushwheel.model.traffic.Endpoint;
+import org.bulrushwheel.model.traffic.ServicePolicy;
+import org.bulrushwheel.model.traffic.TrafficConfiguration;
+import org.bulrushwheel.model.traffic.TrafficDocumentCodec;
+
+/**
+ * An entry instance's view of the fleet at one revision.
+ *
+ * <p>Invariant: a view only follows one of a lower revision, so nothing in force is ever taken back. Immutable and
+ * thread safe.
+ */
+public final class FleetView {
+    private final long revision;
+    private final Optional<TrafficConfiguration> traffic;
+    private final Optional<RouteTable> routes;
+    private final Map<String, Endpoint> endpoints;
+    private final Set<String> evacuatedZones;
+    private final Map<String, List<Endpoint>> usableByService;
+    private final Map<String, ServicePolicy> policies;
+    private final int entryInstances;
+
+    private FleetView(
+            long revision,
+            Optional<TrafficConfiguration> traffic,
+            Optional<RouteTable> routes,
+            Map<String, Endpoint> endpoints,
+            Set<String> evacuatedZones,
+            int entryInstances) {
+        this.revision = revision;
+        this.traffic = traffic;
+        this.routes = routes;
+        this.endpoints = endpoints;
+        this.evacuatedZones = evacuatedZones;
+        this.entryInstances = entryInstances;
+        this.usableByService = new HashMap<>();
+        this.policies = new HashMap<>();
+        endpoints.values().stream()
+                .filter(endpoint -> !evacuatedZones.contains(endpoint.zone()))
+                .sorted(java.util.Comparator.comparing(Endpoint::id))
+                .forEach(endpoint -> usableByService
+                        .computeIfAbsent(endpoint.service(), service -> new ArrayList<>())
+                        .add(endpoint));
+        traffic.ifPresent(
+                configuration -> configuration.services().forEach(policy -> policies.put(policy.name(), policy)));
+    }
+
+    /** The view of an instance that has heard nothing yet. */
+    public static FleetView empty() {
+        return new FleetView(0, Optional.empty(), Optional.empty(), Map.of(), Set.of(), 1);
+    }
+
+    /**
+     * Returns the view after an update, or this view when the update does not follow it.
+     *
+     * @param update changes from a control instance
+     * @param codec form of the traffic configuration
+     * @param regionsByZone regions of the zones
+     * @param nowMillis monotonic time at which the update came
+     */
+    public FleetView after(
+            FleetUpdate update, TrafficDocumentCodec codec, Map<String, String> regionsByZone, long nowMillis) {
+        boolean changes = update.getRevision() > revision && update.getFromRevision() <= revision;
+        int entries = Math.max(1, update.getEntryInstances());
+        if (!changes) {
+            return entries == entryInstances
+                    ? this
+                    : new FleetView(revision, traffic, routes, endpoints, evacuatedZones, entries);
+        }
+        boolean whole = update.getFromRevision() == 0;
+        Optional<TrafficConfiguration> nextTraffic = update.getHasTraffic() ? newerTraffic(update, codec) : traffic;
+        Optional<RouteTable> nextRoutes = nextTraffic.equals(traffic) ? routes : nextTraffic.map(RouteTable::new);
+        Map<String, Endpoint> nextEndpoints = new HashMap<>(whole ? Map.of() : endpoints);
+        for (EndpointRecord record : update.getEndpointsList()) {
+            if (record.getState() == EndpointRecord.State.READY) {
+                nextEndpoints.put(record.getId(), endpointOf(record, regionsByZone, nowMillis));
+            } else {
+                nextEndpoints.remove(record.getId());
+            }
+        }
+        Set<String> nextEvacuated = new HashSet<>(whole ? Set.of() : evacuatedZones);
+        Set<String> returned = new HashSet<>();
+        for (ZoneEvacuation evacuation : update.getEvacuationsList()) {
+            if (evacuation.getActive()) {
+                nextEvacuated.add(evacuation.getZone());
+            } else if (nextEvacuated.remove(evacuation.getZone()) && !whole) {
+                returned.add(evacuation.getZone());
+            }
+        }
+        warmUp(nextEndpoints, returned, nextTraffic, nowMillis);
+        return new FleetView(update.getRevision(), nextTraffic, nextRoutes, nextEndpoints, nextEvacuated, entries);
+    }
+
+    public long revision() {
+        return revision;
+    }
+
+    /** Returns the version of the traffic configuration in force, 0 before the first. */
+    public long trafficVersion() {
+        return traffic.map(TrafficConfiguration::version).orElse(0L);
+    }
+
+    public Optional<TrafficConfiguration> traffic() {
+        return traffic;
+    }
+
+    public Optional<RouteTable> routes() {
+        return routes;
+    }
+
+    /** Returns the endpoints of a service outside evacuated zones, in an order that all instances share. */
+    public List<Endpoint> usable(String service) {
+        return usableByService.getOrDefault(service, List.of());
+    }
+
+    /** Whether an endpoint may still get work. */
+    public boolean isUsable(Endpoint endpoint) {
+        return endpoints.containsKey(endpoint.id()) && !evacuatedZones.contains(endpoint.zone());
+    }
+
+    /** Whether an endpoint of this identity is known and has not ended. */
+    public boolean hasEndpoint(String id) {
+        return endpoints.containsKey(id);
+    }
+
+    public Optional<ServicePolicy> policy(String service) {
+        return Optional.ofNullable(policies.get(service));
+    }
+
+    /** Returns how many entry instances serve, this one among them. */
+    public int entryInstances() {
+        return entryInstances;
+    }
+
+    public Set<String> evacuatedZones() {
+        return evacuatedZones;
+    }
+
+    private Optional<TrafficConfiguration> newerTraffic(FleetUpdate update, TrafficDocumentCodec codec) {
+        if (update.getTraffic().getVersion() <= trafficVersion()) {
+            return traffic;
+        }
+        return Optional.of(codec.read(update.getTraffic().getDocument().toByteArray())
+                .getOrElseThrow(faults -> new IllegalStateException(
+                        "the accepted configuration can't be read: " + faults + "; run the release that accepted it")));
+    }
+
+    private static Endpoint endpointOf(EndpointRecord record, Map<String, String> regionsByZone, long nowMillis) {
+        return new Endpoint(
+                record.getId(),
+                record.getService(),
+                record.getAddress(),
+                record.getZone(),
+                regionsByZone.getOrDefault(record.getZone(), ""),
+                Math.max(1, record.getSlots()),
+                nowMillis + record.getColdRemainingMillis());
+    }
+
+    /** Endpoints of a zone that is taken back may have become cold unheard. */
+    private static void warmUp(
+            Map<String, Endpoint> endpoints,
+            Set<String> returned,
+            Optional<TrafficConfiguration> traffic,
+            long nowMillis) {
+        if (returned.isEmpty() || traffic.isEmpty()) {
+            return;
+        }
+        Map<String, Long> coldMillis = new HashMap<>();
+        traffic.get().services().forEach(policy -> coldMillis.put(policy.name(), policy.coldStartMillis()));
+        endpoints.replaceAll((id, endpoint) -> returned.contains(endpoint.zone())
+                ? new Endpoint(
+                        id,
+                        endpoint.service(),
+                        endpoint.address(),
+                        endpoint.zone(),
+                        endpoint.region(),
+                        endpoint.slots(),
+                        nowMillis + coldMillis.getOrDefault(endpoint.service(), 0L))
+                : endpoint);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/logic/fleet/SplitChoice.java
@@ -0,0 +1,28 @@
+package org.bulrushwheel.logic.fleet;
+
+import org.bulrushwheel.logic.hash.StableHash;
+import org.bulrushwheel.model.traffic.TrafficRoute;
+import org.bulrushwheel.model.traffic.WeightedService;
+
+/**
+ * Chooses the service of a request by the weights of its route.
+ *
+ * <p>Stateless and thread safe.
+ */
+public final class SplitChoice {
+    private SplitChoice() {}
+
+    /** Returns the service for a request; the same request always gets the same one. */
+    public static String of(TrafficRoute route, String requestId) {
+        double total =
+                route.split().stream().mapToDouble(WeightedService::weight).sum();
+        double point = StableHash.unit(requestId, route.name()) * total;
+        for (WeightedService part : route.split()) {
+            point -= part.weight();
+            if (point < 0) {
+                return part.service();
+            }
+        }
+        return route.split().get(route.split().size() - 1).service();
+    }
+}
--- a/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
@@ -237,6 +237,19 @@
         return tracker.wasHeardWithin(peer, timings.electionMillis(), nowMillis);
     }
 
+    /** Whether this replica leads, or heard a leader within an election time. */
+    public boolean hearsLeader() {
+        return role == RaftRole.LEADER
+                || (leader.isPresent() && nowMillis - leaderHeardMillis < timings.electionMillis());
+    }
+
+    /** Voters that have not answered this leader for that long. */
+    public List<String> votersSilentFor(long millis) {
+        return log.voters().getVotersList().stream()
+                .filter(voter -> !voter.equals(self) && !tracker.wasHeardWithin(voter, millis, nowMillis))
+                .toList();
+    }
+
     private void tickLeader() {
         boolean pastGrace = nowMillis - leaderSinceMillis >= timings.electionMillis();
         long heard = tracker.heardVoters(log.voters(), timings.electionMillis(), nowMillis);
--- a/src/main/java/org/bulrushwheel/logic/settings/RecordShape.java
+++ b/src/main/java/org/bulrushwheel/logic/settings/RecordShape.java
@@ -94,6 +94,9 @@
         if (type == int.class || type == long.class) {
             return value.isIntegralNumber();
         }
+        if (type == double.class) {
+            return value.isNumber();
+        }
         if (type.isEnum()) {
             return Arrays.stream(type.getEnumConstants())
                     .anyMatch(constant -> constant.toString().equals(value.asText()));
@@ -105,6 +108,9 @@
         if (type.isEnum()) {
             return "value of " + Arrays.toString(type.getEnumConstants());
         }
+        if (type == double.class) {
+            return "number";
+        }
         return type == String.class ? "text" : type == boolean.class ? "true or false" : "whole number";
     }
 
--- a/src/main/java/org/bulrushwheel/logic/settings/SettingsReader.java
+++ b/src/main/java/org/bulrushwheel/logic/settings/SettingsReader.java
@@ -12,6 +12,7 @@
 import org.bulrushwheel.logic.config.CidrPrefix;
 import org.bulrushwheel.model.instance.Address;
 import org.bulrushwheel.model.instance.Instance;
+import org.bulrushwheel.model.settings.FleetSettings;
 import org.bulrushwheel.model.settings.Settings;
 
 /**
@@ -37,12 +38,31 @@
             List<String> wrong = check(settings);
             return wrong.isEmpty() ? Either.right(settings) : Either.left(wrong);
         } catch (JsonProcessingException e) {
-            String line =
-                    e.getLocation() == null ? "" : "line " + e.getLocation().getLineNr() + ": ";
-            return Either.left(List.of(line + e.getOriginalMessage() + "; correct the TOML"));
+            return Either.left(List.of(lineOf(e) + e.getOriginalMessage() + "; correct the TOML"));
         }
     }
 
+    /** Reads the settings of a process that finds others from seeds; on the left all faults. */
+    public static Either<List<String>, FleetSettings> readFleet(String document) {
+        try {
+            JsonNode tree = TOML.readTree(document);
+            List<String> faults = new ArrayList<>(RecordShape.faults(tree, FleetSettings.class));
+            if (!faults.isEmpty()) {
+                return Either.left(faults);
+            }
+            FleetSettings settings = TOML.treeToValue(tree, FleetSettings.class);
+            checkAddress("peerAddress", settings.peerAddress(), faults);
+            settings.seeds().forEach(seed -> checkAddress("seeds", seed, faults));
+            return faults.isEmpty() ? Either.right(settings) : Either.left(faults);
+        } catch (JsonProcessingException e) {
+            return Either.left(List.of(lineOf(e) + e.getOriginalMessage() + "; correct the TOML"));
+        }
+    }
+
+    private static String lineOf(JsonProcessingException e) {
+        return e.getLocation() == null ? "" : "line " + e.getLocation().getLineNr() + ": ";
+    }
+
     private static List<String> check(Settings settings) {
         List<String> faults = new ArrayList<>();
         checkAddress("httpAddress", settings.httpAddress(), faults);
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/model/settings/FleetSettings.java
@@ -0,0 +1,73 @@
+package org.bulrushwheel.model.settings;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Settings of a process that knows a few control instances and finds the others from there.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param instance name of the instance
+ * @param zone availability zone
+ * @param region region of the zone
+ * @param peerAddress listener for other instances, as IP:PORT; also the instance's name among them
+ * @param callerAddress listener for callers; only on entry instances
+ * @param readinessAddress listener for readiness checks; only on entry instances
+ * @param controlAddress listener for operators and endpoints; only on control instances
+ * @param lookupAddress listener for look-ups; only on control instances
+ * @param seeds control instances, as IP:PORT of any of their listeners
+ * @param dataFolder folder of a control replica; only on control instances
+ * @param firstStart whether the whole deployment starts for the first time
+ * @param zones all availability zones
+ * @param bounds what the deployment is promised
+ */
+public record FleetSettings(
+        String instance,
+        String zone,
+        String region,
+        String peerAddress,
+        @Nullable String callerAddress,
+        @Nullable String readinessAddress,
+        @Nullable String controlAddress,
+        @Nullable String lookupAddress,
+        List<String> seeds,
+        @Nullable String dataFolder,
+        boolean firstStart,
+        List<ZonePlace> zones,
+        FleetBounds bounds) {
+    /** Copies the lists. */
+    public FleetSettings {
+        seeds = seeds == null ? List.of() : List.copyOf(seeds);
+        zones = zones == null ? List.of() : List.copyOf(zones);
+    }
+
+    /** Returns the region of each zone. */
+    public Map<String, String> regionsByZone() {
+        return zones.stream().collect(Collectors.toMap(ZonePlace::zone, ZonePlace::region));
+    }
+
+    /** Returns all regions in alphabetical order. */
+    public List<String> regions() {
+        return zones.stream().map(ZonePlace::region).distinct().sorted().toList();
+    }
+
+    /** Returns the control instances to begin with, by their addresses for peers: the port is the same everywhere. */
+    public List<String> seedPeers() {
+        String peerPort = peerAddress.substring(peerAddress.lastIndexOf(':'));
+        return seeds.stream()
+                .map(seed -> seed.substring(0, seed.lastIndexOf(':')) + peerPort)
+                .sorted()
+                .toList();
+    }
+
+    /** Returns the data folder of a control replica. */
+    public Optional<Path> dataPath() {
+        return Optional.ofNullable(dataFolder).filter(path -> !path.isEmpty()).map(Path::of);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
@@ -0,0 +1,109 @@
+package org.bulrushwheel.server.edge;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.Future;
+import org.bulrushwheel.logic.fleet.FleetView;
+import org.bulrushwheel.logic.placement.EndpointChooser;
+import org.bulrushwheel.logic.retry.WindowedRetryBudget;
+import org.bulrushwheel.logic.time.TimeSource;
+import org.bulrushwheel.model.instance.Address;
+import org.bulrushwheel.model.traffic.Endpoint;
+
+/**
+ * What the exchanges of an entry instance share.
+ *
+ * <p>Not thread safe: one event loop uses it.
+ */
+final class EdgeContext {
+    // Beyond two ways between regions a silent address is taken for dead and another endpoint is tried.
+    private static final int CONNECT_TIMEOUT_MILLIS = 400;
+
+    private final EdgeSettings settings;
+    private final EdgeHeaders names;
+    private final EventLoop loop;
+    private final TimeSource time;
+    private final MetricRegistry metrics;
+    private final EndpointChooser chooser;
+    private final Bootstrap bootstrap;
+    private final Map<String, EndpointPool> poolsByEndpoint = new HashMap<>();
+    private final Map<String, WindowedRetryBudget> budgetsByService = new HashMap<>();
+    private FleetView view = FleetView.empty();
+
+    EdgeContext(EdgeSettings settings, EdgeHeaders names, EventLoop loop, TimeSource time, MetricRegistry metrics) {
+        this.settings = settings;
+        this.names = names;
+        this.loop = loop;
+        this.time = time;
+        this.metrics = metrics;
+        this.chooser = new EndpointChooser(settings.placement());
+        this.bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+    }
+
+    EdgeHeaders names() {
+        return names;
+    }
+
+    FleetView view() {
+        return view;
+    }
+
+    EndpointChooser chooser() {
+        return chooser;
+    }
+
+    long nowMillis() {
+        return time.monotonicMillis();
+    }
+
+    Future<?> after(long delayMillis, Runnable work) {
+        return loop.schedule(work, Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
+    }
+
+    void count(String name) {
+        metrics.counter(name).inc();
+    }
+
+    void took(String name, long millis) {
+        metrics.timer(name).update(millis, TimeUnit.MILLISECONDS);
+    }
+
+    EndpointPool poolOf(Endpoint endpoint) {
+        return poolsByEndpoint.computeIfAbsent(
+                endpoint.id(), id -> new EndpointPool(Address.parse(endpoint.address()), bootstrap, names, time));
+    }
+
+    WindowedRetryBudget budgetOf(String service) {
+        return budgetsByService.computeIfAbsent(
+                service,
+                name -> new WindowedRetryBudget(
+                        settings.retryWindowMillis(), settings.retryRatio(), settings.retrySlack()));
+    }
+
+    void use(FleetView newView) {
+        view = newView;
+        chooser.use(newView);
+        poolsByEndpoint.entrySet().removeIf(entry -> {
+            boolean ended = !newView.hasEndpoint(entry.getKey());
+            if (ended) {
+                entry.getValue().close();
+            }
+            return ended;
+        });
+    }
+
+    void closeExpired() {
+        poolsByEndpoint.values().forEach(EndpointPool::closeExpired);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/edge/Exchange.java
@@ -0,0 +1,364 @@
+package org.bulrushwheel.server.edge;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.concurrent.Future;
+import io.vavr.control.Either;
+import org.bulrushwheel.logic.fleet.FleetView;
+import org.bulrushwheel.logic.fleet.SplitChoice;
+import org.bulrushwheel.logic.placement.PlacementQuery;
+import org.bulrushwheel.model.traffic.Endpoint;
+import org.bulrushwheel.model.traffic.RouteKind;
+import org.bulrushwheel.model.traffic.TrafficRoute;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One request of a caller from its route to its one answer.
+ *
+ * <p>Invariants: it is answered exactly once, unless the caller has gone; 503 is answered only when no byte can have
+ * reached an endpoint or every endpoint said that it did not run the request; a request that may run once is never sent
+ * again after an endpoint may have run it. Not thread safe: one event loop drives it.
+ */
+final class Exchange {
+    private static final Logger LOGGER = LoggerFactory.getLogger(Exchange.class);
+    // An endpoint's own answer at the deadline is still on its way then.
+    private static final long DELIVERY_MILLIS = 100;
+    private static final long LEAST_USEFUL_MILLIS = 5;
+    private static final int MAX_CONNECT_FAILURES = 5;
+    private static final long RETRY_AFTER_MILLIS = 300;
+    private static final long RETRY_AFTER_NO_VIEW_MILLIS = 500;
+
+    private final EdgeContext context;
+    private final CallerRequest request;
+    private final Consumer<EdgeAnswer> taker;
+    private final Set<String> tried = new HashSet<>();
+    private @Nullable TrafficRoute route;
+    private String service = "";
+    private long deadlineMillis;
+    private int sent;
+    private int connectFailures;
+    private boolean uncertain;
+    private boolean finished;
+    private boolean left;
+    private @Nullable EndpointConnection current;
+    private @Nullable Endpoint currentEndpoint;
+    private @Nullable EdgeAnswer lastAnswer;
+    private @Nullable Future<?> timeout;
+
+    Exchange(EdgeContext context, CallerRequest request, Consumer<EdgeAnswer> taker) {
+        this.context = context;
+        this.request = request;
+        this.taker = taker;
+    }
+
+    /** Whether the request must not be started before those ahead of it on its connection are answered. */
+    static boolean mustStandFirst(EdgeContext context, CallerRequest request) {
+        return context.view()
+                .routes()
+                .flatMap(routes -> routes.find(request.host(), request.path()))
+                .map(found -> found.kind() == RouteKind.ONCE)
+                .orElse(false);
+    }
+
+    void start() {
+        FleetView view = context.view();
+        if (view.routes().isEmpty()) {
+            finish(EdgeAnswer.refusal("no configuration is known yet", RETRY_AFTER_NO_VIEW_MILLIS), "no-configuration");
+            return;
+        }
+        Optional<TrafficRoute> found = view.routes().get().find(request.host(), request.path());
+        if (found.isEmpty()) {
+            finish(EdgeAnswer.own(404, "no route has this host and path"), "no-route");
+            return;
+        }
+        route = found.get();
+        service = SplitChoice.of(found.get(), requestId());
+        long waitMillis = request.millisHeader(context.names().deadlineMillis())
+                .map(caller -> Math.min(caller, found.get().timeoutMillis()))
+                .orElse(found.get().timeoutMillis());
+        deadlineMillis = request.receivedMillis() + waitMillis;
+        context.budgetOf(service).onRequest(context.nowMillis());
+        timeout = context.after(deadlineMillis - context.nowMillis(), this::onDeadline);
+        attempt();
+    }
+
+    /** The caller has gone: work that may be repeated is given up, what must run once is left to end. */
+    void cancel() {
+        if (finished) {
+            return;
+        }
+        left = true;
+        context.count("edge.callers.left");
+        boolean once = route != null && route.kind() == RouteKind.ONCE;
+        if (current == null || !once) {
+            abortCurrent();
+            close();
+        }
+    }
+
+    private void attempt() {
+        if (finished) {
+            return;
+        }
+        long nowMillis = context.nowMillis();
+        if (deadlineMillis - nowMillis < LEAST_USEFUL_MILLIS) {
+            onDeadline();
+            return;
+        }
+        TrafficRoute way = java.util.Objects.requireNonNull(route);
+        boolean repeat = sent > 0;
+        if (repeat && sent >= way.maxAttempts()) {
+            giveUp("attempts-spent");
+            return;
+        }
+        Optional<String> key = request.header(context.names().affinityKey()).filter(any -> way.affinity());
+        Optional<Endpoint> choice = context.chooser()
+                .choose(new PlacementQuery(way, service, key.orElse(requestId()), key.isPresent(), tried), nowMillis);
+        if (choice.isEmpty()) {
+            giveUp("no-endpoint");
+            return;
+        }
+        if (repeat
+                && !context.budgetOf(service).tryRetry(nowMillis, context.view().entryInstances())) {
+            giveUp("retry-budget-spent");
+            return;
+        }
+        Endpoint endpoint = choice.get();
+        tried.add(endpoint.id());
+        currentEndpoint = endpoint;
+        context.chooser().sent(endpoint);
+        context.poolOf(endpoint).acquire(false, acquired -> onConnection(endpoint, acquired));
+    }
+
+    private void onConnection(Endpoint endpoint, Either<String, EndpointConnection> acquired) {
+        if (finished || (left && acquired.isRight())) {
+            acquired.forEach(EndpointConnection::close);
+            endAttempt(endpoint);
+            close();
+            return;
+        }
+        if (acquired.isLeft()) {
+            endAttempt(endpoint);
+            context.count("edge.retries.connect-failed");
+            context.chooser().failed(endpoint, context.nowMillis());
+            if (++connectFailures >= MAX_CONNECT_FAILURES) {
+                giveUp("connect-failed");
+            } else {
+                attempt();
+            }
+            return;
+        }
+        if (!context.view().isUsable(endpoint)) {
+            acquired.get().close();
+            endAttempt(endpoint);
+            attempt();
+            return;
+        }
+        send(endpoint, acquired.get());
+    }
+
+    private void send(Endpoint endpoint, EndpointConnection connection) {
+        long nowMillis = context.nowMillis();
+        HttpHeaders headers = HopHeaders.endToEnd(request.headers());
+        headers.set(context.names().deadlineMillis(), Long.toString(Math.max(1, deadlineMillis - nowMillis)));
+        headers.set(context.names().expectedInstance(), endpoint.id());
+        current = connection;
+        sent++;
+        connection.send(request, headers, new AttemptListener() {
+            @Override
+            public void onAnswer(EdgeAnswer answer) {
+                attemptAnswered(endpoint, answer, nowMillis);
+            }
+
+            @Override
+            public void onBroken(String reason) {
+                attemptBroken(endpoint, reason);
+            }
+        });
+    }
+
+    private void attemptAnswered(Endpoint endpoint, EdgeAnswer answer, long sentMillis) {
+        endAttempt(endpoint);
+        if (finished) {
+            answer.body().release();
+            return;
+        }
+        long nowMillis = context.nowMillis();
+        learnLoad(endpoint, answer.headers(), nowMillis);
+        boolean notRun = answer.status().code() == 421
+                || answer.headers().contains(context.names().notExecuted());
+        if (notRun) {
+            answer.body().release();
+            if (answer.status().code() == 421) {
+                context.chooser().failed(endpoint, nowMillis);
+            }
+            context.count("edge.retries.not-executed");
+            attempt();
+            return;
+        }
+        boolean unsigned = !context.names().signature().isEmpty()
+                && !answer.headers().contains(context.names().signature());
+        if (unsigned) {
+            answer.body().release();
+            attemptBroken(endpoint, "answer without signature");
+            return;
+        }
+        boolean serverError = answer.status().code() >= 500;
+        if (serverError && repeatable()) {
+            keep(answer);
+            uncertain = true;
+            context.count("edge.retries.server-error");
+            attempt();
+            return;
+        }
+        if (!serverError) {
+            context.chooser()
+                    .answered(endpoint, java.util.Objects.requireNonNull(route).name(), nowMillis - sentMillis);
+        }
+        finish(answer, "answered");
+    }
+
+    private void attemptBroken(Endpoint endpoint, String reason) {
+        if (current != null) {
+            endAttempt(endpoint);
+        }
+        if (finished) {
+            return;
+        }
+        uncertain = true;
+        LOGGER.debug("request={} endpoint={} broken: {}", requestId(), endpoint.id(), reason);
+        context.count("edge.retries.broken");
+        context.chooser().failed(endpoint, context.nowMillis());
+        if (repeatable()) {
+            attempt();
+        } else {
+            finish(EdgeAnswer.own(502, "the endpoint broke off; the request may have run"), "broken");
+        }
+    }
+
+    private void giveUp(String reason) {
+        if (lastAnswer != null) {
+            EdgeAnswer answer = lastAnswer;
+            lastAnswer = null;
+            finish(answer, reason);
+        } else if (uncertain) {
+            finish(EdgeAnswer.own(502, "no endpoint gave an answer; the request may have run"), reason);
+        } else {
+            finish(EdgeAnswer.refusal("no endpoint can take the request now; not run", RETRY_AFTER_MILLIS), reason);
+        }
+    }
+
+    private void onDeadline() {
+        if (finished) {
+            return;
+        }
+        boolean atWork = current != null;
+        if (atWork && context.nowMillis() < deadlineMillis + DELIVERY_MILLIS) {
+            timeout = context.after(deadlineMillis + DELIVERY_MILLIS - context.nowMillis(), this::onDeadline);
+            return;
+        }
+        uncertain = uncertain || atWork;
+        abortCurrent();
+        if (lastAnswer != null || !uncertain) {
+            giveUp("deadline");
+        } else {
+            finish(EdgeAnswer.own(504, "no answer before the deadline; the request may have run"), "deadline");
+        }
+    }
+
+    private void finish(EdgeAnswer answer, String reason) {
+        if (finished) {
+            answer.body().release();
+            return;
+        }
+        boolean gone = left;
+        close();
+        context.count("edge.outcomes." + reason);
+        context.took("edge.latency", context.nowMillis() - request.receivedMillis());
+        if (answer.status().code() >= 500) {
+            LOGGER.info(
+                    "request={} route={} status={} reason={} sent={} mayHaveRun={} tried={} revision={} tookMillis={}",
+                    requestId(),
+                    route == null ? "" : route.name(),
+                    answer.status().code(),
+                    reason,
+                    sent,
+                    uncertain,
+                    tried,
+                    context.view().revision(),
+                    context.nowMillis() - request.receivedMillis());
+        }
+        if (gone) {
+            answer.body().release();
+        } else {
+            taker.accept(answer);
+        }
+    }
+
+    private void close() {
+        if (finished) {
+            return;
+        }
+        finished = true;
+        if (timeout != null) {
+            timeout.cancel(false);
+        }
+        if (lastAnswer != null) {
+            lastAnswer.body().release();
+            lastAnswer = null;
+        }
+        request.body().release();
+    }
+
+    private void abortCurrent() {
+        EndpointConnection connection = current;
+        Endpoint endpoint = currentEndpoint;
+        if (connection != null && endpoint != null) {
+            endAttempt(endpoint);
+            connection.abort();
+        }
+    }
+
+    private void endAttempt(Endpoint endpoint) {
+        current = null;
+        currentEndpoint = null;
+        context.chooser().ended(endpoint);
+    }
+
+    private void keep(EdgeAnswer answer) {
+        if (lastAnswer != null) {
+            lastAnswer.body().release();
+        }
+        lastAnswer = answer;
+    }
+
+    private void learnLoad(Endpoint endpoint, HttpHeaders headers, long nowMillis) {
+        String load = headers.get(context.names().load());
+        if (load == null) {
+            return;
+        }
+        List<String> parts = List.of(load.split(","));
+        try {
+            int total = Integer.parseInt(parts.get(0).strip())
+                    + Integer.parseInt(parts.get(1).strip());
+            context.chooser().reported(endpoint, total, nowMillis);
+        } catch (NumberFormatException | IndexOutOfBoundsException e) {
+            context.count("edge.load.unreadable");
+        }
+    }
+
+    private boolean repeatable() {
+        return java.util.Objects.requireNonNull(route).kind() == RouteKind.REPEATABLE;
+    }
+
+    private String requestId() {
+        return request.header(context.names().requestId()).orElse("");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetSubscription.java
@@ -0,0 +1,197 @@
+package org.bulrushwheel.server.fleet;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import org.bulrushwheel.kernel.KernelService;
+import org.bulrushwheel.logic.fleet.FleetView;
+import org.bulrushwheel.logic.time.TimeSource;
+import org.bulrushwheel.model.proto.EntryRecord;
+import org.bulrushwheel.model.proto.FleetHello;
+import org.bulrushwheel.model.proto.FleetUpdate;
+import org.bulrushwheel.model.proto.Frame;
+import org.bulrushwheel.model.traffic.TrafficDocumentCodec;
+import org.bulrushwheel.wire.PeerNetwork;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps an entry instance's view of the fleet: one control instance at a time tells it of changes; one that falls silent
+ * or hears no leader is left for the next.
+ *
+ * <p>Invariant: the view never goes back. Thread safe: the view is kept on the event loop.
+ */
+public final class FleetSubscription implements KernelService {
+    /** Name in the kernel. */
+    public static final String NAME = "fleet-subscription";
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(FleetSubscription.class);
+    private static final long HELLO_PAUSE_MILLIS = 300;
+    // Three hellos unanswered, or two ways between regions and an election.
+    private static final long SILENT_MILLIS = 1_000;
+    // Budgets shared by all instances must not grow while a part of them is cut off for minutes.
+    private static final double FORGOTTEN_PART = 0.002;
+
+    private final EntryRecord self;
+    private final Supplier<List<String>> seeds;
+    private final Map<String, String> regionsByZone;
+    private final TrafficDocumentCodec codec;
+    private final PeerNetwork peers;
+    private final EventLoop loop;
+    private final TimeSource time;
+    private final MetricRegistry metrics;
+    private final List<Consumer<FleetView>> listeners = new ArrayList<>();
+    private final Set<String> replicas = new LinkedHashSet<>();
+    private FleetView view = FleetView.empty();
+    private String source = "";
+    private long currentMillis;
+    private long switchedMillis;
+    private double instances = 1;
+    private volatile boolean leaving;
+    private volatile boolean ready;
+
+    /**
+     * A subscription of an entry instance.
+     *
+     * @param self what others are told of this instance
+     * @param seeds control instances to begin with
+     */
+    public FleetSubscription(
+            EntryRecord self,
+            Supplier<List<String>> seeds,
+            Map<String, String> regionsByZone,
+            TrafficDocumentCodec codec,
+            PeerNetwork peers,
+            EventLoop loop,
+            TimeSource time,
+            MetricRegistry metrics) {
+        this.self = self;
+        this.seeds = seeds;
+        this.regionsByZone = Map.copyOf(regionsByZone);
+        this.codec = codec;
+        this.peers = peers;
+        this.loop = loop;
+        this.time = time;
+        this.metrics = metrics;
+        peers.handle(
+                Frame.BodyCase.FLEET_UPDATE,
+                (frame, reply) -> loop.execute(() -> onUpdate(frame.getSender(), frame.getFleetUpdate())));
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    /** Adds a listener for new views; called on the event loop. To be added before the start. */
+    public void onView(Consumer<FleetView> listener) {
+        listeners.add(listener);
+    }
+
+    /** Whether this instance has a configuration and does not leave. */
+    public boolean isReady() {
+        return ready && !leaving;
+    }
+
+    @Override
+    public void start() {
+        loop.scheduleWithFixedDelay(this::tick, 0, HELLO_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void drain(long deadlineNanos) {
+        leaving = true;
+        loop.execute(this::sayHello);
+    }
+
+    @Override
+    public void stop() {
+        // The event loop ends with the network.
+    }
+
+    private void tick() {
+        long nowMillis = time.monotonicMillis();
+        boolean stale = nowMillis - currentMillis > SILENT_MILLIS && nowMillis - switchedMillis > SILENT_MILLIS;
+        if (source.isEmpty() || stale) {
+            switchSource(nowMillis);
+        }
+        sayHello();
+    }
+
+    private void switchSource(long nowMillis) {
+        List<String> candidates = candidates();
+        if (candidates.isEmpty()) {
+            return;
+        }
+        String next = candidates.get((candidates.indexOf(source) + 1) % candidates.size());
+        if (!source.isEmpty()) {
+            metrics.counter("fleet.sources.left").inc();
+            LOGGER.info("control instance={} is silent or hears no leader, turning to {}", source, next);
+        }
+        source = next;
+        switchedMillis = nowMillis;
+    }
+
+    /** Control instances, those on this instance's own network first. */
+    private List<String> candidates() {
+        Set<String> known = new LinkedHashSet<>(replicas);
+        known.addAll(seeds.get());
+        return known.stream()
+                .sorted(java.util.Comparator.comparingInt((String peer) -> -sharedPrefix(peer, self.getPeerAddress()))
+                        .thenComparing(java.util.Comparator.naturalOrder()))
+                .toList();
+    }
+
+    private void sayHello() {
+        if (source.isEmpty()) {
+            return;
+        }
+        EntryRecord entry =
+                self.toBuilder().setServing(isReady()).setLeaving(leaving).build();
+        peers.send(
+                source,
+                Frame.newBuilder()
+                        .setFleetHello(FleetHello.newBuilder().setEntry(entry).setHaveRevision(view.revision())));
+    }
+
+    private void onUpdate(String sender, FleetUpdate update) {
+        long nowMillis = time.monotonicMillis();
+        if (sender.equals(source) && update.getCurrent()) {
+            currentMillis = nowMillis;
+        }
+        if (update.getCurrent() && update.getReplicasCount() > 0) {
+            replicas.clear();
+            replicas.addAll(update.getReplicasList());
+        }
+        instances = Math.max(update.getEntryInstances(), instances * (1 - FORGOTTEN_PART));
+        FleetUpdate counted = update.toBuilder()
+                .setEntryInstances((int) Math.round(instances))
+                .build();
+        FleetView next = view.after(counted, codec, regionsByZone, nowMillis);
+        if (next == view) {
+            return;
+        }
+        if (next.trafficVersion() != view.trafficVersion()) {
+            LOGGER.info("configuration version={} in force, revision={}", next.trafficVersion(), next.revision());
+        }
+        view = next;
+        ready = next.traffic().isPresent();
+        listeners.forEach(listener -> listener.accept(next));
+    }
+
+    private static int sharedPrefix(String one, String other) {
+        int length = 0;
+        while (length < Math.min(one.length(), other.length()) && one.charAt(length) == other.charAt(length)) {
+            length++;
+        }
+        return length;
+    }
+}
--- a/src/main/java/org/bulrushwheel/wire/PeerNetwork.java
+++ b/src/main/java/org/bulrushwheel/wire/PeerNetwork.java
@@ -2,6 +2,7 @@
 
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -21,7 +22,6 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.bulrushwheel.kernel.KernelService;
 import org.bulrushwheel.model.instance.Address;
-import org.bulrushwheel.model.instance.Instance;
 import org.bulrushwheel.model.proto.Frame;
 import org.bulrushwheel.model.settings.Settings;
 import org.jspecify.annotations.Nullable;
@@ -39,9 +39,10 @@
     private static final int EVENT_LOOP_THREADS = 2;
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
-    private final Instance self;
+    private final String self;
+    private final Address listen;
     private final MetricRegistry metrics;
-    private final Map<String, Instance> peersByName = new ConcurrentHashMap<>();
+    private final Map<String, Address> peersByName = new ConcurrentHashMap<>();
     private final Map<String, PeerLink> linksByName = new ConcurrentHashMap<>();
     private final Map<Frame.BodyCase, FrameHandler> handlers = new EnumMap<>(Frame.BodyCase.class);
     private final Map<Long, CompletableFuture<Frame>> pendingCalls = new ConcurrentHashMap<>();
@@ -52,11 +53,29 @@
 
     /** A network of the instances in the settings. */
     public PeerNetwork(Settings settings, MetricRegistry metrics) {
-        this.self = settings.self();
+        this(
+                settings.instance(),
+                Address.parse(settings.peerAddress()),
+                new MultiThreadIoEventLoopGroup(
+                        EVENT_LOOP_THREADS, new DefaultThreadFactory("peers", true), NioIoHandler.newFactory()),
+                metrics);
+        settings.peers().forEach(peer -> peersByName.put(peer.name(), Address.parse(peer.peerAddress())));
+    }
+
+    /**
+     * A network of instances that go by their addresses: a peer whose name is not known is reached at the address that
+     * its name is.
+     *
+     * @param self name of this instance
+     * @param listen address for peers
+     * @param eventLoops threads of the network, which it ends when it stops
+     * @param metrics counters
+     */
+    public PeerNetwork(String self, Address listen, EventLoopGroup eventLoops, MetricRegistry metrics) {
+        this.self = self;
+        this.listen = listen;
         this.metrics = metrics;
-        settings.peers().forEach(peer -> peersByName.put(peer.name(), peer));
-        this.eventLoops = new MultiThreadIoEventLoopGroup(
-                EVENT_LOOP_THREADS, new DefaultThreadFactory("peers", true), NioIoHandler.newFactory());
+        this.eventLoops = eventLoops;
         this.clientBootstrap = new Bootstrap()
                 .group(eventLoops)
                 .channel(NioSocketChannel.class)
@@ -77,14 +96,13 @@
 
     @Override
     public void start() {
-        Address address = Address.parse(self.peerAddress());
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(eventLoops)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new FrameCodec(MAX_FRAME_BYTES, metrics, this::onFrame));
-        server = bootstrap.bind(address.toSocketAddress()).syncUninterruptibly().channel();
+        server = bootstrap.bind(listen.toSocketAddress()).syncUninterruptibly().channel();
     }
 
     @Override
@@ -98,7 +116,7 @@
 
     /** Sends a frame without an answer; to this instance itself it is handed over directly. */
     public void send(String peer, Frame.Builder frame) {
-        Frame complete = frame.setSender(self.name()).build();
+        Frame complete = frame.setSender(self).build();
         metrics.meter("peers.frames.sent").mark();
         metrics.meter("peers.bytes.sent").mark(complete.getSerializedSize());
         deliver(peer, complete);
@@ -121,21 +139,33 @@
     }
 
     private void deliver(String peer, Frame frame) {
-        if (peer.equals(self.name())) {
+        if (peer.equals(self)) {
             eventLoops.execute(() -> dispatch(frame, reply -> completeCall(reply.build())));
             return;
         }
-        Instance instance = peersByName.get(peer);
-        if (instance == null) {
+        Optional<Address> address = addressOf(peer);
+        if (address.isEmpty()) {
             metrics.counter("peers.frames.unknown-peer").inc();
             return;
         }
         linksByName
-                .computeIfAbsent(
-                        peer, name -> new PeerLink(Address.parse(instance.peerAddress()), clientBootstrap, metrics))
+                .computeIfAbsent(peer, name -> new PeerLink(address.get(), clientBootstrap, metrics))
                 .send(frame);
     }
 
+    private Optional<Address> addressOf(String peer) {
+        Address known = peersByName.get(peer);
+        if (known != null) {
+            return Optional.of(known);
+        }
+        try {
+            return Optional.of(Address.parse(peer));
+        } catch (IllegalArgumentException e) {
+            // A name that is no address and is not listed; counted by the caller.
+            return Optional.empty();
+        }
+    }
+
     private void onFrame(ChannelHandlerContext context, Frame frame) {
         if (frame.getReply()) {
             completeCall(frame);
@@ -153,7 +183,7 @@
         handler.onFrame(
                 frame,
                 reply -> channel.accept(
-                        reply.setReply(true).setSender(self.name()).setCorrelationId(frame.getCorrelationId())));
+                        reply.setReply(true).setSender(self).setCorrelationId(frame.getCorrelationId())));
     }
 
     private void completeCall(Frame frame) {
