--- a/src/main/java/org/bulrushwheel/control/ControlService.java
+++ b/src/main/java/org/bulrushwheel/control/ControlService.java
@@ -59,8 +59,10 @@
     public static final String NAME = "control";
 
     private static final Logger LOGGER = LoggerFactory.getLogger(ControlService.class);
-    private static final long TICK_MILLIS = 20;
+    private static final long TICK_MILLIS = 50;
     private static final long JOIN_PAUSE_MILLIS = 500;
+    // A full disk is freed within seconds; opening it costs little.
+    private static final long REOPEN_PAUSE_MILLIS = 500;
     private static final long REMOVAL_PAUSE_MILLIS = 1_000;
     // Longer than any restart; a replica that comes back later joins again with the log that it has.
     private static final long LOST_VOTER_MILLIS = 12_000;
@@ -186,10 +188,7 @@
             LOGGER.info("data folder is empty, joining as replica={}", fresh);
         }
         replica = ReplicaStorage.identity(folder).orElseThrow();
-        storage = ReplicaStorage.open(folder);
-        node = new RaftNode(replica, storage.state(), RaftTimings.DEFAULT, random, time.monotonicMillis());
-        restore(storage.state().snapshot());
-        storage.releaseLoadedEntries();
+        open();
         thread.start();
     }
 
@@ -246,11 +245,8 @@
     private void run() {
         try {
             while (!stopping) {
-                runBatch();
+                runGuarded();
             }
-        } catch (StorageException e) {
-            metrics.counter("control.storage.failed").inc();
-            LOGGER.error("replica={} stops: {}", replica, e.getMessage(), e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
@@ -260,6 +256,32 @@
         }
     }
 
+    /** A disk that fails stops the replica until its files can be opened again; what is on the disk decides then. */
+    private void runGuarded() throws InterruptedException {
+        try {
+            if (storage == null) {
+                open();
+            }
+            runBatch();
+        } catch (StorageException e) {
+            metrics.counter("control.storage.failed").inc();
+            LOGGER.error("replica={} stops until its disk works again: {}", replica, e.getMessage(), e);
+            proposals.abandon();
+            pendingReads.clear();
+            closeStorage();
+            status = status.stopped();
+            Thread.sleep(REOPEN_PAUSE_MILLIS);
+        }
+    }
+
+    private void open() {
+        ReplicaStorage opened = ReplicaStorage.open(settings.dataFolder());
+        storage = opened;
+        node = new RaftNode(replica, opened.state(), RaftTimings.DEFAULT, random, time.monotonicMillis());
+        restore(opened.state().snapshot());
+        opened.releaseLoadedEntries();
+    }
+
     private void runBatch() throws InterruptedException {
         Runnable first = inbox.poll(TICK_MILLIS, TimeUnit.MILLISECONDS);
         List<Runnable> batch = new ArrayList<>();
@@ -343,6 +365,7 @@
     private void restore(SnapshotFile snapshot) {
         appliedIndex = snapshot.getLastIndex();
         if (snapshot.getState().isEmpty()) {
+            state.restore(ControlSnapshot.getDefaultInstance());
             return;
         }
         try {
@@ -455,8 +478,13 @@
     }
 
     private void closeStorage() {
+        ReplicaStorage files = storage;
+        storage = null;
+        if (files == null) {
+            return;
+        }
         try {
-            requireStorage().close();
+            files.close();
         } catch (IOException e) {
             LOGGER.warn("cannot close the data folder", e);
         }
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/daemon/DefaultInterfaces.java
@@ -0,0 +1,157 @@
+package org.bulrushwheel.daemon;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.bulrushwheel.logic.fleet.JsonTrafficCodec;
+import org.bulrushwheel.model.instance.Address;
+import org.bulrushwheel.model.proto.EndpointRecord;
+import org.bulrushwheel.model.proto.EndpointRecord.State;
+import org.bulrushwheel.model.traffic.Announcement;
+import org.bulrushwheel.model.traffic.TrafficDocumentCodec;
+import org.bulrushwheel.server.api.ApiCall;
+import org.bulrushwheel.server.api.ApiHandler;
+import org.bulrushwheel.server.api.ApiReply;
+import org.bulrushwheel.server.edge.EdgeHeaders;
+import org.bulrushwheel.server.fleet.FleetAdministration.Outcome;
+import org.bulrushwheel.server.fleet.FleetServices;
+
+/**
+ * The project's own interfaces of a deployment that is found from seeds.
+ *
+ * <p>Stateless and thread safe.
+ */
+public final class DefaultInterfaces implements FleetInterfaces {
+    /** Path of readiness checks. */
+    public static final String READY = "/v1/ready";
+
+    /** Path of look-ups. */
+    public static final String ENTRIES = "/v1/entries";
+
+    /** Path of the traffic configuration. */
+    public static final String TRAFFIC = "/v1/traffic";
+
+    /** Path below which endpoints announce themselves. */
+    public static final String ENDPOINTS = "/v1/endpoints/";
+
+    /** Path below which zones are evacuated. */
+    public static final String EVACUATIONS = "/v1/evacuations/";
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    @Override
+    public EdgeHeaders headers() {
+        return EdgeHeaders.DEFAULT;
+    }
+
+    @Override
+    public TrafficDocumentCodec trafficCodec() {
+        return new JsonTrafficCodec();
+    }
+
+    @Override
+    public ApiHandler readiness(BooleanSupplier ready) {
+        return call -> done(
+                call.path().equals(READY) ? ApiReply.empty(ready.getAsBoolean() ? 200 : 503) : ApiReply.empty(404));
+    }
+
+    @Override
+    public ApiHandler control(FleetServices services) {
+        return call -> {
+            String target = call.method() + " " + call.path();
+            if (target.equals("PUT " + TRAFFIC)) {
+                return services.replaceTraffic(call.body()).thenApply(DefaultInterfaces::replyOf);
+            }
+            if (target.equals("GET " + TRAFFIC)) {
+                return services.readTraffic().thenApply(newest -> newest.filter(document -> document.getVersion() > 0)
+                        .map(document ->
+                                ApiReply.json(200, document.getDocument().toString(StandardCharsets.UTF_8)))
+                        .orElseGet(() -> ApiReply.empty(503)));
+            }
+            if (call.path().startsWith(EVACUATIONS)) {
+                return services.setEvacuation(
+                                call.path().substring(EVACUATIONS.length()),
+                                call.method().equals("PUT"))
+                        .thenApply(DefaultInterfaces::replyOf);
+            }
+            if (call.path().startsWith(ENDPOINTS)) {
+                return endpoint(services, call);
+            }
+            return done(ApiReply.empty(404));
+        };
+    }
+
+    @Override
+    public ApiHandler lookup(FleetServices services) {
+        return call -> done(call.path().equals(ENTRIES) ? entries(services, call) : ApiReply.empty(404));
+    }
+
+    private static CompletionStage<ApiReply> endpoint(FleetServices services, ApiCall call) {
+        String id = call.path().substring(ENDPOINTS.length());
+        if (call.method().equals("DELETE")) {
+            return services.leave(id).thenApply(DefaultInterfaces::acknowledged);
+        }
+        try {
+            return services.announce(recordOf(id, JSON.readValue(call.body(), Announcement.class)))
+                    .thenApply(DefaultInterfaces::acknowledged);
+        } catch (IOException e) {
+            return done(ApiReply.text(400, "the announcement can't be read: " + e.getMessage() + "\n"));
+        }
+    }
+
+    private static EndpointRecord recordOf(String id, Announcement announcement) {
+        return EndpointRecord.newBuilder()
+                .setId(id)
+                .setBornEpochMillis(announcement.bornEpochMillis())
+                .setService(announcement.service())
+                .setAddress(Address.parse(announcement.address()).toString())
+                .setZone(announcement.zone())
+                .setSlots(announcement.slots())
+                .setState(announcement.draining() ? State.DRAINING : State.READY)
+                .setSequence(announcement.sequence())
+                .setColdRemainingMillis(announcement.coldRemainingMillis())
+                .build();
+    }
+
+    private static ApiReply entries(FleetServices services, ApiCall call) {
+        List<String> entries =
+                services
+                        .entriesFor(
+                                call.parameter("zone").orElse(""),
+                                call.parameter("region").orElse(""))
+                        .stream()
+                        .map(Address::toString)
+                        .toList();
+        try {
+            return ApiReply.json(
+                    entries.isEmpty() ? 503 : 200,
+                    JSON.writeValueAsString(Map.of("entries", entries, "validSeconds", services.lookupValidSeconds())));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a list of texts can't be written as JSON", e);
+        }
+    }
+
+    private static ApiReply acknowledged(boolean yes) {
+        return ApiReply.empty(yes ? 200 : 503);
+    }
+
+    private static ApiReply replyOf(Outcome outcome) {
+        return ApiReply.empty(
+                switch (outcome) {
+                    case ACCEPTED -> 200;
+                    case INVALID -> 400;
+                    case UNKNOWN -> 503;
+                });
+    }
+
+    private static CompletionStage<ApiReply> done(ApiReply reply) {
+        return CompletableFuture.completedFuture(reply);
+    }
+}
--- a/src/main/java/org/bulrushwheel/daemon/EdgeDaemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/EdgeDaemon.java
@@ -87,6 +87,7 @@
         return new EdgeSettings(
                 Address.parse(callerAddress),
                 new PlacementSettings(
+                        settings.instance(),
                         settings.region(),
                         settings.regions(),
                         settings.bounds().coldLoadFactor(),
--- a/src/main/java/org/bulrushwheel/logic/placement/EndpointChooser.java
+++ b/src/main/java/org/bulrushwheel/logic/placement/EndpointChooser.java
@@ -24,7 +24,8 @@
     private static final double LEARNING_RATE = 0.05;
     // A request for an object that an endpoint has not handled of late takes about three times as long.
     private static final double MISS_COST = 2.0;
-    private static final double COLD_USED_PART = 0.7;
+    // Instances don't take turns: twice the mean may meet in one second.
+    private static final double COLD_USED_PART = 0.35;
 
     private record RankingKey(String service, Set<String> homeRegions) {}
 
@@ -134,7 +135,7 @@
 
     /** Instances start with different parts of a token, so that they don't all send at once. */
     private double coldStart(Endpoint endpoint) {
-        return StableHash.unit(endpoint.id(), Integer.toString(System.identityHashCode(this)));
+        return StableHash.unit(endpoint.id(), settings.instance());
     }
 
     private AffinityRanking rankingOf(PlacementQuery query) {
--- a/src/main/java/org/bulrushwheel/logic/raft/RaftLog.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/RaftLog.java
@@ -125,4 +125,9 @@
         baseTerm = newSnapshot.getLastTerm();
         baseVoters = newSnapshot.getVoters();
     }
+
+    /** Whether a log that ends so has all that this one may have committed. */
+    boolean isCoveredBy(long otherLastTerm, long otherLastIndex) {
+        return otherLastTerm > lastTerm() || (otherLastTerm == lastTerm() && otherLastIndex >= lastIndex());
+    }
 }
--- a/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
@@ -33,7 +33,7 @@
 
     private final String self;
     private final RaftTimings timings;
-    private final RandomGenerator random;
+    private final ElectionClock clock;
     private final RaftLog log;
     private final RaftOutbox outbox = new RaftOutbox();
     private final ReplicationTracker tracker;
@@ -43,8 +43,6 @@
     private HardState hardState;
     private Optional<String> leader = Optional.empty();
     private long nowMillis;
-    private long electionDeadlineMillis;
-    private long leaderHeardMillis = Long.MIN_VALUE / 2;
     private long nextHeartbeatMillis;
     private long leaderSinceMillis;
     private long commitIndex;
@@ -68,14 +66,13 @@
         this.self = self;
         this.tracker = new ReplicationTracker(self);
         this.timings = timings;
-        this.random = random;
+        this.clock = new ElectionClock(timings, random, nowMillis);
         this.nowMillis = nowMillis;
         this.hardState = stored.hardState();
         this.log = new RaftLog(stored.snapshot(), stored.entries());
         this.commitIndex = stored.snapshot().getLastIndex();
         this.deliveredIndex = commitIndex;
         this.persistedIndex = log.lastIndex();
-        resetElectionDeadline();
     }
 
     /** Moves time on: heartbeats, elections, and a leader's check that a majority still hears it. */
@@ -85,7 +82,7 @@
             tickLeader();
             return;
         }
-        if (nowMillis >= electionDeadlineMillis && isVoter(self)) {
+        if (clock.isElectionDue(nowMillis) && isVoter(self)) {
             startElection(true);
         }
     }
@@ -99,7 +96,7 @@
             onVoteRequest(message);
             return;
         }
-        if (message.getTerm() > hardState.getTerm() && !isPreVoteGrant(message)) {
+        if (message.getTerm() > hardState.getTerm() && !RaftMessages.isPreVoteGrant(message)) {
             becomeFollower(message.getTerm(), Optional.empty());
         }
         if (message.getTerm() < hardState.getTerm()) {
@@ -239,8 +236,7 @@
 
     /** Whether this replica leads, or heard a leader within an election time. */
     public boolean hearsLeader() {
-        return role == RaftRole.LEADER
-                || (leader.isPresent() && nowMillis - leaderHeardMillis < timings.electionMillis());
+        return role == RaftRole.LEADER || (leader.isPresent() && clock.hasHeardLeader(nowMillis));
     }
 
     /** Voters that have not answered this leader for that long. */
@@ -269,7 +265,7 @@
         leader = Optional.empty();
         votes.clear();
         votes.add(self);
-        resetElectionDeadline();
+        clock.restart(nowMillis);
         long term = hardState.getTerm() + 1;
         if (!preVote) {
             storeHardState(term, self);
@@ -305,19 +301,18 @@
 
     private void onVoteRequest(RaftMessage message) {
         VoteRequest request = message.getVoteRequest();
-        boolean leaderAlive = nowMillis - leaderHeardMillis < timings.electionMillis() || role == RaftRole.LEADER;
+        boolean leaderAlive = clock.hasHeardLeader(nowMillis) || role == RaftRole.LEADER;
         if (leaderAlive && !leader.equals(Optional.of(message.getFrom())) && leader.isPresent()) {
             return;
         }
         if (!request.getPreVote() && message.getTerm() > hardState.getTerm()) {
             becomeFollower(message.getTerm(), Optional.empty());
         }
-        boolean upToDate = request.getLastLogTerm() > log.lastTerm()
-                || (request.getLastLogTerm() == log.lastTerm() && request.getLastLogIndex() >= log.lastIndex());
+        boolean upToDate = log.isCoveredBy(request.getLastLogTerm(), request.getLastLogIndex());
         boolean granted = upToDate && mayVoteFor(message, request.getPreVote());
         if (granted && !request.getPreVote()) {
             storeHardState(message.getTerm(), message.getFrom());
-            resetElectionDeadline();
+            clock.restart(nowMillis);
         }
         long answerTerm = granted ? message.getTerm() : hardState.getTerm();
         outbox.send(message(message.getFrom(), answerTerm)
@@ -339,12 +334,6 @@
         return message.getTerm() == hardState.getTerm() && free;
     }
 
-    private static boolean isPreVoteGrant(RaftMessage message) {
-        return message.hasVoteResponse()
-                && message.getVoteResponse().getPreVote()
-                && message.getVoteResponse().getGranted();
-    }
-
     private void onVoteResponse(RaftMessage message) {
         VoteResponse response = message.getVoteResponse();
         RaftRole wanted = response.getPreVote() ? RaftRole.PRE_CANDIDATE : RaftRole.CANDIDATE;
@@ -519,8 +508,7 @@
             becomeFollower(hardState.getTerm(), Optional.of(from));
         }
         leader = Optional.of(from);
-        leaderHeardMillis = nowMillis;
-        resetElectionDeadline();
+        clock.heardLeader(nowMillis);
     }
 
     private void becomeFollower(long term, Optional<String> newLeader) {
@@ -531,7 +519,7 @@
         if (term > hardState.getTerm()) {
             storeHardState(term, "");
         }
-        resetElectionDeadline();
+        clock.restart(nowMillis);
     }
 
     private void storeHardState(long term, String votedFor) {
@@ -539,10 +527,6 @@
         outbox.store(hardState);
     }
 
-    private void resetElectionDeadline() {
-        electionDeadlineMillis = nowMillis + timings.electionMillis() + random.nextLong(timings.electionMillis());
-    }
-
     private boolean isVoter(String replica) {
         return log.voters().getVotersList().contains(replica);
     }
--- a/src/main/java/org/bulrushwheel/storage/ReplicaStorage.java
+++ b/src/main/java/org/bulrushwheel/storage/ReplicaStorage.java
@@ -53,19 +53,28 @@
             Files.createDirectories(folder);
             FileChannel channel =
                     FileChannel.open(folder.resolve(LOCK_FILE), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-            FileLock lock = channel.tryLock();
-            if (lock == null) {
+            try {
+                return open(folder, channel);
+            } catch (IOException | RuntimeException e) {
+                // Another attempt in this process could not take the lock otherwise.
                 channel.close();
-                throw new StorageException(folder + " is in use; stop the other process or name another data folder");
+                throw e;
             }
-            ReplicaStorage storage = new ReplicaStorage(folder, lock);
-            storage.load();
-            return storage;
         } catch (IOException | java.nio.channels.OverlappingFileLockException e) {
             throw new StorageException("cannot open " + folder + "; check the folder and that no process uses it", e);
         }
     }
 
+    private static ReplicaStorage open(Path folder, FileChannel channel) throws IOException {
+        FileLock lock = channel.tryLock();
+        if (lock == null) {
+            throw new StorageException(folder + " is in use; stop the other process or name another data folder");
+        }
+        ReplicaStorage storage = new ReplicaStorage(folder, lock);
+        storage.load();
+        return storage;
+    }
+
     /** Reads the identity of the replica on this disk, or none for a disk without one. */
     public static Optional<String> identity(Path folder) {
         Path file = folder.resolve(IDENTITY_FILE);
--- a/src/test/java/org/bulrushwheel/ArchitectureTest.java
+++ b/src/test/java/org/bulrushwheel/ArchitectureTest.java
@@ -30,6 +30,8 @@
             .definedBy("org.bulrushwheel.server..")
             .layer("Daemon")
             .definedBy("org.bulrushwheel.daemon..")
+            .layer("Platform")
+            .definedBy("org.bulrushwheel.platform..")
             .layer("Tools")
             .definedBy(
                     "org.bulrushwheel.cli..",
@@ -39,10 +41,12 @@
                     "org.bulrushwheel.client..")
             .whereLayer("Tools")
             .mayNotBeAccessedByAnyLayer()
-            .whereLayer("Daemon")
+            .whereLayer("Platform")
             .mayOnlyBeAccessedByLayers("Tools")
+            .whereLayer("Daemon")
+            .mayOnlyBeAccessedByLayers("Platform", "Tools")
             .whereLayer("Server")
-            .mayOnlyBeAccessedByLayers("Daemon", "Tools")
+            .mayOnlyBeAccessedByLayers("Daemon", "Platform", "Tools")
             .whereLayer("Control")
             .mayOnlyBeAccessedByLayers("Server", "Daemon", "Tools")
             .whereLayer("Wire")
--- /dev/null
+++ b/src/test/java/org/bulrushwheel/logic/fleet/FleetStateTest.java
@@ -0,0 +1,143 @@
+package org.bulrushwheel.logic.fleet;
+
+import java.util.List;
+import java.util.Optional;
+
+import com.google.protobuf.ByteString;
+import org.bulrushwheel.model.proto.EndpointRecord;
+import org.bulrushwheel.model.proto.EndpointRecord.State;
+import org.bulrushwheel.model.proto.FleetUpdate;
+import org.bulrushwheel.model.proto.PutEndpoints;
+import org.bulrushwheel.model.proto.ReplaceTraffic;
+import org.bulrushwheel.model.proto.SetEvacuation;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class FleetStateTest {
+    private final FleetState state = new FleetState();
+
+    private static EndpointRecord endpoint(String id, long born, long sequence, State is) {
+        return EndpointRecord.newBuilder()
+                .setId(id)
+                .setBornEpochMillis(born)
+                .setSequence(sequence)
+                .setState(is)
+                .setService("desk")
+                .setAddress("10.0.0.1:80")
+                .setZone("z")
+                .setSlots(4)
+                .build();
+    }
+
+    private void put(EndpointRecord record) {
+        state.putEndpoints(PutEndpoints.newBuilder().addEndpoints(record).build());
+    }
+
+    private State stateOf(String id) {
+        return state.endpoint(id).map(EndpointRecord::getState).orElseThrow();
+    }
+
+    private void replace(long version, String document) {
+        state.replaceTraffic(ReplaceTraffic.newBuilder()
+                .setVersion(version)
+                .setDocument(ByteString.copyFromUtf8(document))
+                .build());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"3, 3, first", "3, 2, first", "3, 4, second"})
+    void onlyAHigherVersionReplacesWhatIsHeld(long first, long second, String held) {
+        replace(first, "first");
+        replace(second, "second");
+        assertEquals(held, state.traffic().getDocument().toStringUtf8());
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // An incarnation that drains or has left never becomes ready again.
+        "5, 1, READY, 5, 2, DRAINING, DRAINING",
+        "5, 2, DRAINING, 5, 3, READY, DRAINING",
+        "5, 2, LEFT, 5, 9, READY, LEFT",
+        "5, 2, LEFT, 5, 9, DRAINING, LEFT",
+        // A drain that overtook an earlier announcement counts.
+        "5, 9, READY, 5, 2, DRAINING, DRAINING",
+        // A new incarnation under the same name knows nothing of before.
+        "5, 9, LEFT, 6, 1, READY, READY",
+        // A late announcement of an incarnation before changes nothing.
+        "6, 1, READY, 5, 99, DRAINING, READY",
+        // One that had fallen silent is back.
+        "5, 3, READY, 5, 3, SILENT, SILENT",
+        "5, 3, SILENT, 5, 4, READY, READY"
+    })
+    void announcementsAreTakenInTheOrderInWhichTheyWereMade(
+            long born1, long sequence1, State state1, long born2, long sequence2, State state2, State held) {
+        put(endpoint("e", born1, sequence1, state1));
+        put(endpoint("e", born2, sequence2, state2));
+        assertEquals(held, stateOf("e"));
+    }
+
+    @Test
+    void laterEndpointAtAnAddressShowsThatTheOneBeforeHasEnded() {
+        put(endpoint("old", 5, 9, State.READY));
+        put(endpoint("new", 6, 1, State.READY));
+        assertEquals(State.LEFT, stateOf("old"));
+        put(endpoint("old", 5, 10, State.READY));
+        assertEquals(State.LEFT, stateOf("old"), "a late heartbeat revived an endpoint that had ended");
+    }
+
+    @Test
+    void changesSinceARevisionAreAllThatIsMissing() {
+        replace(1, "first");
+        long before = state.revision();
+        put(endpoint("e", 1, 1, State.READY));
+        state.setEvacuation(
+                SetEvacuation.newBuilder().setZone("z").setActive(true).build());
+        FleetUpdate update = state.changesSince(before);
+        assertFalse(update.getHasTraffic());
+        assertEquals(
+                List.of("e"),
+                update.getEndpointsList().stream().map(EndpointRecord::getId).toList());
+        assertEquals(1, update.getEvacuationsCount());
+        assertTrue(state.changesSince(0).getHasTraffic());
+        assertEquals(0, state.changesSince(state.revision()).getEndpointsCount());
+    }
+
+    @Test
+    void whoAsksFromAnUnknownRevisionGetsEverything() {
+        put(endpoint("e", 1, 1, State.READY));
+        FleetUpdate update = state.changesSince(state.revision() + 5);
+        assertEquals(0, update.getFromRevision());
+        assertEquals(1, update.getEndpointsCount());
+    }
+
+    @Test
+    void endedEndpointsAreForgottenInTheEndAndWhoWasAwayGetsEverything() {
+        put(endpoint("first", 1, 1, State.READY));
+        long before = state.revision();
+        for (int index = 0; index < 1_100; index++) {
+            put(endpoint("e" + index, 1, 1, State.LEFT));
+        }
+        assertTrue(state.endpoints().size() <= 1_001);
+        assertEquals(0, state.changesSince(before).getFromRevision());
+    }
+
+    @Test
+    void snapshotIsTheWholeState() {
+        replace(3, "document");
+        put(endpoint("e", 1, 1, State.DRAINING));
+        FleetState copy = new FleetState();
+        copy.restore(state.snapshot());
+        assertEquals(state.changesSince(0), copy.changesSince(0));
+    }
+
+    @Test
+    void silenceIsNotHeldAgainstAnIncarnationThatWasHeardLater() {
+        assertFalse(EndpointRecords.isNewer(
+                endpoint("e", 5, 3, State.SILENT), Optional.of(endpoint("e", 5, 4, State.READY))));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/bulrushwheel/logic/placement/EndpointChooserTest.java
@@ -0,0 +1,207 @@
+package org.bulrushwheel.logic.placement;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import com.google.protobuf.ByteString;
+import org.bulrushwheel.logic.fleet.FleetView;
+import org.bulrushwheel.logic.fleet.JsonTrafficCodec;
+import org.bulrushwheel.model.proto.EndpointRecord;
+import org.bulrushwheel.model.proto.FleetUpdate;
+import org.bulrushwheel.model.proto.TrafficDocument;
+import org.bulrushwheel.model.traffic.Endpoint;
+import org.bulrushwheel.model.traffic.RouteKind;
+import org.bulrushwheel.model.traffic.TrafficRoute;
+import org.bulrushwheel.model.traffic.WeightedService;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class EndpointChooserTest {
+    private static final List<String> REGIONS = List.of("a", "b", "c");
+    private static final Map<String, String> ZONES = Map.of("a1", "a", "b1", "b", "c1", "c");
+    private static final String TRAFFIC =
+            "{\"version\": 1, \"routes\": [], \"services\": [{\"name\": \"desk\", \"healthPath\": \"/\", "
+                    + "\"maxConnections\": 1, \"coldStartMillis\": 3000, \"coldRequestsPerSecond\": 3.1}], "
+                    + "\"limits\": null}";
+
+    private static TrafficRoute route(Set<String> homes) {
+        return new TrafficRoute(
+                "r",
+                "h",
+                "/",
+                RouteKind.REPEATABLE,
+                1_000,
+                500,
+                1,
+                List.of(new WeightedService("desk", 1)),
+                2,
+                true,
+                homes);
+    }
+
+    private static PlacementQuery query(String key, Set<String> homes, Set<String> tried) {
+        return new PlacementQuery(route(homes), "desk", key, true, tried);
+    }
+
+    private static PlacementQuery query(String key) {
+        return query(key, Set.of(), Set.of());
+    }
+
+    private static FleetView view(int instances, long coldMillis, int... endpointsByRegion) {
+        FleetUpdate.Builder update = FleetUpdate.newBuilder()
+                .setRevision(1)
+                .setEntryInstances(instances)
+                .setHasTraffic(true)
+                .setTraffic(TrafficDocument.newBuilder().setVersion(1).setDocument(ByteString.copyFromUtf8(TRAFFIC)));
+        for (int region = 0; region < endpointsByRegion.length; region++) {
+            for (int index = 0; index < endpointsByRegion[region]; index++) {
+                update.addEndpoints(EndpointRecord.newBuilder()
+                        .setId(REGIONS.get(region) + index)
+                        .setService("desk")
+                        .setZone(REGIONS.get(region) + "1")
+                        .setSlots(4)
+                        .setColdRemainingMillis(coldMillis));
+            }
+        }
+        return FleetView.empty().after(update.build(), new JsonTrafficCodec(), ZONES, 0);
+    }
+
+    private static EndpointChooser chooser(String region, FleetView view) {
+        return chooser("entry", region, view);
+    }
+
+    private static EndpointChooser chooser(String instance, String region, FleetView view) {
+        EndpointChooser chooser = new EndpointChooser(new PlacementSettings(instance, region, REGIONS, 1.5, 5));
+        chooser.use(view);
+        return chooser;
+    }
+
+    private static Endpoint choose(EndpointChooser chooser, PlacementQuery query) {
+        return chooser.choose(query, 10_000).orElseThrow();
+    }
+
+    @Test
+    void allInstancesOfARegionSendAnObjectToTheSameEndpoint() {
+        FleetView view = view(24, 0, 2, 10, 10);
+        EndpointChooser one = chooser("a", view);
+        EndpointChooser other = chooser("a", view);
+        for (int key = 0; key < 200; key++) {
+            assertEquals(choose(one, query("k" + key)), choose(other, query("k" + key)));
+        }
+    }
+
+    @Test
+    void endpointThatGoesMovesOnlyItsOwnObjects() {
+        EndpointChooser before = chooser("b", view(24, 0, 2, 10, 10));
+        EndpointChooser after = chooser("b", view(24, 0, 2, 9, 10));
+        int moved = 0;
+        for (int key = 0; key < 1_000; key++) {
+            Endpoint old = choose(before, query("k" + key));
+            if (!old.id().equals("b9") && !old.equals(choose(after, query("k" + key)))) {
+                moved++;
+            }
+        }
+        // The region's share of the whole changes a little with its slots.
+        assertTrue(moved < 30, moved + " objects of other endpoints moved");
+    }
+
+    /** Two endpoints in one region, ten in each other, equal requests from all: the load of adwenpa's places. */
+    @Test
+    void regionWithFewEndpointsSendsWhatItCannotServeToTheOthers() {
+        FleetView view = view(24, 0, 2, 10, 10);
+        Map<String, Integer> byRegion = new HashMap<>();
+        for (String region : REGIONS) {
+            EndpointChooser chooser = chooser(region, view);
+            for (int key = 0; key < 3_000; key++) {
+                byRegion.merge(choose(chooser, query(region + key)).region(), 1, Integer::sum);
+            }
+        }
+        assertEquals(9_000 * 2 / 22.0, byRegion.get("a"), 120);
+        assertEquals(9_000 * 10 / 22.0, byRegion.get("b"), 250);
+        assertEquals(9_000 * 10 / 22.0, byRegion.get("c"), 250);
+    }
+
+    @Test
+    void routeWithHomesIsServedThereOnly() {
+        EndpointChooser chooser = chooser("a", view(24, 0, 2, 10, 10));
+        for (int key = 0; key < 300; key++) {
+            assertEquals(
+                    "c",
+                    choose(chooser, query("k" + key, Set.of("c"), Set.of())).region());
+        }
+        assertTrue(
+                chooser.choose(query("k", Set.of("nowhere"), Set.of()), 10_000).isEmpty());
+    }
+
+    @Test
+    void endpointThatWasTriedOrFailsIsNotTheFirstChoice() {
+        EndpointChooser chooser = chooser("a", view(24, 0, 0, 3, 0));
+        Endpoint first = choose(chooser, query("k"));
+        assertNotEquals(first, choose(chooser, query("k", Set.of(), Set.of(first.id()))));
+        chooser.failed(first, 10_000);
+        assertNotEquals(first, choose(chooser, query("k")));
+        assertEquals(first, chooser.choose(query("k"), 11_000).orElseThrow(), "a suspension ends");
+    }
+
+    @Test
+    void waitThatCostsMoreThanAMissSendsAnObjectElsewhere() {
+        EndpointChooser chooser = chooser("a", view(24, 0, 0, 3, 0));
+        Endpoint first = choose(chooser, query("k"));
+        for (int request = 0; request < 4; request++) {
+            chooser.sent(first);
+        }
+        assertEquals(first, choose(chooser, query("k")), "one request ahead costs less than a miss");
+        for (int request = 0; request < 12; request++) {
+            chooser.sent(first);
+        }
+        assertNotEquals(first, choose(chooser, query("k")));
+    }
+
+    @Test
+    void coldEndpointsGetNothingWhileOthersServe() {
+        FleetUpdate mixed = FleetUpdate.newBuilder()
+                .setFromRevision(1)
+                .setRevision(2)
+                .setEntryInstances(24)
+                .addEndpoints(EndpointRecord.newBuilder()
+                        .setId("b0")
+                        .setService("desk")
+                        .setZone("b1")
+                        .setSlots(4)
+                        .setColdRemainingMillis(60_000))
+                .build();
+        EndpointChooser chooser = chooser("a", view(24, 0, 0, 3, 0).after(mixed, new JsonTrafficCodec(), ZONES, 0));
+        for (int key = 0; key < 300; key++) {
+            assertNotEquals("b0", choose(chooser, query("k" + key)).id());
+        }
+    }
+
+    /** Everything is cold, as after a loss of all power: 24 instances offer it 50 requests a second each. */
+    @Test
+    void allInstancesTogetherStayBelowWhatAColdEndpointBears() {
+        FleetView view = view(24, 60_000, 0, 1, 0);
+        double bound = 3.1 * 1.5 + 5;
+        int[] perMillisecond = new int[30_000];
+        for (int instance = 0; instance < 24; instance++) {
+            EndpointChooser chooser = chooser("entry-" + instance, "a", view);
+            for (int millis = 0; millis < perMillisecond.length; millis += 20) {
+                if (chooser.choose(query("k" + millis), millis).isPresent()) {
+                    perMillisecond[millis]++;
+                }
+            }
+        }
+        int inWindow = 0;
+        int total = 0;
+        for (int millis = 0; millis < perMillisecond.length; millis++) {
+            inWindow += perMillisecond[millis] - (millis >= 1_000 ? perMillisecond[millis - 1_000] : 0);
+            total += perMillisecond[millis];
+            assertTrue(inWindow <= bound, inWindow + " requests in a second at " + millis);
+        }
+        assertTrue(total > 30, "a cold endpoint that is all there is still serves: " + total);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeFixture.java
@@ -0,0 +1,131 @@
+package org.bulrushwheel.server.edge;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.bulrushwheel.client.LoopbackPorts;
+import org.bulrushwheel.logic.fleet.FleetView;
+import org.bulrushwheel.logic.fleet.JsonTrafficCodec;
+import org.bulrushwheel.logic.placement.PlacementSettings;
+import org.bulrushwheel.logic.time.SystemTimeSource;
+import org.bulrushwheel.model.instance.Address;
+import org.bulrushwheel.model.proto.EndpointRecord;
+import org.bulrushwheel.model.proto.FleetUpdate;
+import org.bulrushwheel.model.proto.TrafficDocument;
+
+/** Listener for callers with a view that a test decides, and a caller of single bytes. */
+final class EdgeFixture implements AutoCloseable {
+    static final String TRAFFIC =
+            """
+            {"version": 1,
+             "routes": [
+              {"name": "read", "host": "host.example", "pathPrefix": "/read/", "kind": "REPEATABLE",
+               "timeoutMillis": 1500, "targetLatencyMillis": 500, "priority": 1,
+               "split": [{"service": "desk", "weight": 1}], "maxAttempts": 2, "affinity": true, "homeRegions": []},
+              {"name": "file", "host": "host.example", "pathPrefix": "/file/", "kind": "ONCE",
+               "timeoutMillis": 1500, "targetLatencyMillis": 500, "priority": 1,
+               "split": [{"service": "desk", "weight": 1}], "maxAttempts": 2, "affinity": true, "homeRegions": []}],
+             "services": [{"name": "desk", "healthPath": "/health", "maxConnections": 100, "coldStartMillis": 3000,
+               "coldRequestsPerSecond": 3}],
+             "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 1000, "headerTimeoutMillis": 3000,
+               "idleTimeoutMillis": 15000}}
+            """;
+
+    private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) loops.next();
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final Address address =
+            new Address("127.0.0.1", LoopbackPorts.free(1).get(0));
+    private final EdgeServer server;
+    private FleetView view = FleetView.empty();
+
+    EdgeFixture() {
+        server = new EdgeServer(
+                new EdgeSettings(address, new PlacementSettings("entry", "r", List.of("r"), 1.5, 5), 10_000, 0.2, 100),
+                EdgeHeaders.DEFAULT,
+                loop,
+                new SystemTimeSource(),
+                metrics);
+        server.start();
+    }
+
+    EdgeServer server() {
+        return server;
+    }
+
+    /** Puts a configuration and these endpoints in force. */
+    void configure(List<EndpointRecord> endpoints) {
+        update(FleetUpdate.newBuilder()
+                .setHasTraffic(true)
+                .setTraffic(TrafficDocument.newBuilder().setVersion(1).setDocument(ByteString.copyFromUtf8(TRAFFIC)))
+                .addAllEndpoints(endpoints));
+    }
+
+    void update(FleetUpdate.Builder update) {
+        FleetUpdate next = update.setFromRevision(view.revision())
+                .setRevision(view.revision() + 1)
+                .setEntryInstances(1)
+                .build();
+        loop.submit(() -> {
+                    view = view.after(
+                            next, new JsonTrafficCodec(), Map.of("z", "r"), new SystemTimeSource().monotonicMillis());
+                    server.use(view);
+                })
+                .syncUninterruptibly();
+    }
+
+    static EndpointRecord endpoint(String id, ScriptedEndpoint endpoint) {
+        return EndpointRecord.newBuilder()
+                .setId(id)
+                .setService("desk")
+                .setAddress(endpoint.address())
+                .setZone("z")
+                .setSlots(4)
+                .build();
+    }
+
+    static String get(String path, String id) {
+        return "GET " + path + " HTTP/1.1\r\nHost: host.example\r\nBulrushwheel-Request-Id: " + id
+                + "\r\nBulrushwheel-Affinity-Key: 17\r\nBulrushwheel-Timeout-Millis: 1200\r\n\r\n";
+    }
+
+    Socket connect() throws IOException {
+        Socket socket = new Socket(address.host(), address.port());
+        socket.setSoTimeout(5_000);
+        return socket;
+    }
+
+    /** Sends bytes on a new connection and returns all that comes back until the connection ends. */
+    String talk(String bytes) throws IOException {
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+            return readAll(socket.getInputStream());
+        }
+    }
+
+    /** Sends a request that asks for the end of the connection. */
+    String call(String path, String id) throws IOException {
+        return talk(get(path, id).replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"));
+    }
+
+    static String readAll(InputStream input) throws IOException {
+        return new String(input.readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
@@ -0,0 +1,289 @@
+package org.bulrushwheel.server.edge;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.bulrushwheel.model.proto.EndpointRecord;
+import org.bulrushwheel.model.proto.FleetUpdate;
+import org.bulrushwheel.model.proto.ZoneEvacuation;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+@Timeout(30)
+class EdgeServerTest {
+    private final EdgeFixture edge = new EdgeFixture();
+    private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
+
+    @AfterEach
+    void close() throws IOException {
+        edge.close();
+        for (ScriptedEndpoint endpoint : endpoints) {
+            endpoint.close();
+        }
+    }
+
+    private ScriptedEndpoint endpoint(ScriptedEndpoint.Script script) throws IOException {
+        ScriptedEndpoint endpoint = new ScriptedEndpoint(script);
+        endpoints.add(endpoint);
+        return endpoint;
+    }
+
+    /** Puts endpoints with the same script in force, named e0, e1 and so on. */
+    private void serve(int count, ScriptedEndpoint.Script script) throws IOException {
+        List<EndpointRecord> records = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            records.add(EdgeFixture.endpoint("e" + index, endpoint(script)));
+        }
+        edge.configure(records);
+    }
+
+    private int received() {
+        return endpoints.stream().mapToInt(each -> each.received().size()).sum();
+    }
+
+    @Test
+    void requestGoesOnWithItsIdTheExpectedEndpointAndAShorterDeadline() throws IOException {
+        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "whole")));
+        String answer =
+                edge.talk("POST /file/x?y=%20z HTTP/1.1\r\nHost: host.example\r\nBulrushwheel-Request-Id: a1\r\n"
+                        + "Bulrushwheel-Timeout-Millis: 1200\r\nX-Other: kept\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+        ScriptedEndpoint.Received seen = endpoints.get(0).received().get(0);
+        assertTrue(answer.startsWith("HTTP/1.1 200 OK"), answer);
+        assertTrue(answer.endsWith("whole"), answer);
+        assertEquals("POST /file/x?y=%20z HTTP/1.1", seen.line());
+        assertEquals("abc", seen.body());
+        assertEquals("a1", seen.header("Bulrushwheel-Request-Id"));
+        assertEquals("e0", seen.header("Bulrushwheel-Expected-Endpoint"));
+        assertEquals("kept", seen.header("X-Other"));
+        assertEquals("", seen.header("X-Hop"));
+        assertTrue(Long.parseLong(seen.header("Bulrushwheel-Timeout-Millis")) <= 1_200);
+    }
+
+    @Test
+    void withoutAConfigurationNothingIsRefusedForGood() throws IOException {
+        String answer = edge.call("/read/x", "a1");
+        assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+        assertTrue(answer.toLowerCase().contains("retry-after"), answer);
+    }
+
+    @Test
+    void unknownRouteIsNotFound() throws IOException {
+        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
+        assertTrue(edge.call("/nowhere/x", "a1").startsWith("HTTP/1.1 404"));
+        assertEquals(0, received());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"/read/x, 200, 2", "/file/x, 502, 1"})
+    void answerCutShortIsTriedAgainOnlyWhereThatIsAllowed(String path, String status, int runs) throws IOException {
+        AtomicInteger count = new AtomicInteger();
+        serve(2, (request, connection) -> {
+            if (count.getAndIncrement() == 0) {
+                connection.send("HTTP/1.1 200 OK\r\nBulrushwheel-Request-Id: "
+                        + request.header("Bulrushwheel-Request-Id") + "\r\nContent-Length: 10\r\n\r\nhalf");
+                connection.socket().close();
+            } else {
+                connection.send(ScriptedEndpoint.ok(request, "whole"));
+            }
+        });
+        String answer = edge.call(path, "a1");
+        assertTrue(answer.startsWith("HTTP/1.1 " + status), answer);
+        assertFalse(answer.contains("half"), answer);
+        assertEquals(runs, received());
+    }
+
+    @Test
+    void answerWithoutLengthThatIsResetIsNotComplete() throws IOException {
+        serve(1, (request, connection) -> {
+            connection.send("HTTP/1.1 200 OK\r\nBulrushwheel-Request-Id: a1\r\n\r\nhalf");
+            Thread.sleep(50);
+            connection.reset();
+        });
+        assertTrue(edge.call("/file/x", "a1").startsWith("HTTP/1.1 502"));
+    }
+
+    @Test
+    void answerWithoutLengthEndsWithItsConnection() throws IOException {
+        serve(1, (request, connection) -> {
+            connection.send("HTTP/1.1 200 OK\r\nBulrushwheel-Request-Id: a1\r\n\r\nall of it");
+            connection.socket().close();
+        });
+        String answer = edge.call("/read/x", "a1");
+        assertTrue(answer.endsWith("all of it"), answer);
+        assertTrue(answer.toLowerCase().contains("content-length: 9"), answer);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"/read/x", "/file/x"})
+    void requestThatAnEndpointDidNotRunGoesToAnother(String path) throws IOException {
+        AtomicInteger count = new AtomicInteger();
+        serve(
+                2,
+                (request, connection) -> connection.send(
+                        count.getAndIncrement() == 0
+                                ? ScriptedEndpoint.notExecuted()
+                                : ScriptedEndpoint.ok(request, "whole")));
+        assertTrue(edge.call(path, "a1").startsWith("HTTP/1.1 200"));
+        assertEquals(2, received());
+    }
+
+    @Test
+    void requestThatNoEndpointRanIsRefusedWithATimeToComeBack() throws IOException {
+        serve(3, (request, connection) -> connection.send(ScriptedEndpoint.notExecuted()));
+        String answer = edge.call("/file/x", "a1");
+        assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+        assertTrue(answer.toLowerCase().contains("retry-after"), answer);
+        assertEquals(2, received(), "the route allows two attempts");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"/read/x", "/file/x"})
+    void requestThatMayHaveRunIsNeverSaidNotToHaveRun(String path) throws IOException {
+        AtomicInteger count = new AtomicInteger();
+        serve(2, (request, connection) -> {
+            if (count.getAndIncrement() == 0) {
+                connection.reset();
+            } else {
+                connection.send(ScriptedEndpoint.notExecuted());
+            }
+        });
+        assertTrue(edge.call(path, "a1").startsWith("HTTP/1.1 502"));
+    }
+
+    @Test
+    void lateAnswerToAnEarlierRequestIsNeverHandedToTheNext() throws IOException {
+        serve(1, (request, connection) -> {
+            String answer = ScriptedEndpoint.ok(request, "of " + request.header("Bulrushwheel-Request-Id"));
+            if (request.header("Bulrushwheel-Request-Id").equals("a2")) {
+                connection.send("HTTP/1.1 200 OK\r\nBulrushwheel-Request-Id: a1\r\nContent-Length: 5\r\n\r\nof a1");
+            }
+            connection.send(answer);
+        });
+        assertTrue(edge.call("/file/x", "a1").endsWith("of a1"));
+        assertTrue(edge.call("/file/x", "a2").endsWith("of a2"));
+    }
+
+    @Test
+    void answersToRequestsSentAheadLeaveInTheirOrder() throws IOException {
+        CountDownLatch second = new CountDownLatch(1);
+        serve(2, (request, connection) -> {
+            String id = request.header("Bulrushwheel-Request-Id");
+            if (id.equals("a1")) {
+                // Answered only once the second has been: both are worked on side by side.
+                second.await(5, TimeUnit.SECONDS);
+            }
+            connection.send(ScriptedEndpoint.ok(request, "[" + id + "]"));
+            second.countDown();
+        });
+        String answers = edge.talk(EdgeFixture.get("/read/x", "a1")
+                + EdgeFixture.get("/read/x", "a2")
+                + EdgeFixture.get("/read/x", "a3").replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"));
+        assertTrue(answers.indexOf("[a1]") > 0, answers);
+        assertTrue(answers.indexOf("[a1]") < answers.indexOf("[a2]"), answers);
+        assertTrue(answers.indexOf("[a2]") < answers.indexOf("[a3]"), answers);
+    }
+
+    @Test
+    void requestThatMayRunOnceWaitsForThoseAheadOfIt() throws IOException {
+        serve(2, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
+        edge.talk(EdgeFixture.get("/read/x", "a1").replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n")
+                + EdgeFixture.get("/file/x", "a2"));
+        assertEquals(1, received(), "a request behind the end of its connection was run");
+    }
+
+    @Test
+    void endpointHearsThatItsCallerHasLeft() throws Exception {
+        CompletableFuture<Boolean> ended = new CompletableFuture<>();
+        CountDownLatch atWork = new CountDownLatch(1);
+        serve(1, (request, connection) -> {
+            atWork.countDown();
+            ended.complete(connection.isClosedWithin(1_000));
+        });
+        try (Socket caller = edge.connect()) {
+            caller.getOutputStream().write(EdgeFixture.get("/read/x", "a1").getBytes(StandardCharsets.ISO_8859_1));
+            assertTrue(atWork.await(5, TimeUnit.SECONDS));
+        }
+        assertTrue(ended.get(5, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void requestWithoutAnAnswerEndsAtItsDeadline() throws IOException {
+        serve(1, (request, connection) -> Thread.sleep(5_000));
+        assertTrue(edge.call("/read/x", "a1").startsWith("HTTP/1.1 504"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "'GET /read/x HTTP/1.1\r\nHost: host.example\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n', 400",
+        "'GET /read/x HTTP/1.1\r\nHost: host.example\r\nHost: other.example\r\n\r\n', 400",
+        "'GET /read/x HTTP/1.1\r\n\r\n', 400",
+        "'NONSENSE\r\n\r\n', 400"
+    })
+    void ambiguousRequestReachesNoEndpoint(String bytes, String status) throws IOException {
+        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
+        String answer = edge.talk(bytes);
+        assertTrue(answer.startsWith("HTTP/1.1 " + status), answer);
+        assertEquals(0, received());
+    }
+
+    @Test
+    void tooLongHeadsAndBodiesAreRejected() throws IOException {
+        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
+        String head = "GET /read/x HTTP/1.1\r\nHost: host.example\r\nX-Long: " + "a".repeat(20_000) + "\r\n\r\n";
+        assertTrue(edge.talk(head).startsWith("HTTP/1.1 431"));
+        String body = "POST /file/x HTTP/1.1\r\nHost: host.example\r\nContent-Length: 1001\r\n\r\n" + "a".repeat(1_001);
+        assertTrue(edge.talk(body).startsWith("HTTP/1.1 413"));
+        assertEquals(0, received());
+    }
+
+    @Test
+    void endpointThatLeavesOrIsEvacuatedGetsNothingMore() throws IOException {
+        serve(2, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
+        edge.update(FleetUpdate.newBuilder()
+                .addEndpoints(EdgeFixture.endpoint("e0", endpoints.get(0)).toBuilder()
+                        .setState(EndpointRecord.State.DRAINING)));
+        for (int index = 0; index < 10; index++) {
+            assertTrue(edge.call("/read/x" + index, "a" + index).startsWith("HTTP/1.1 200"));
+        }
+        assertEquals(0, endpoints.get(0).received().size());
+        edge.update(FleetUpdate.newBuilder()
+                .addEvacuations(ZoneEvacuation.newBuilder().setZone("z").setActive(true)));
+        assertTrue(edge.call("/read/x", "b1").startsWith("HTTP/1.1 503"));
+        assertEquals(10, received());
+    }
+
+    @Test
+    void plannedStopCutsNothing() throws Exception {
+        CountDownLatch atWork = new CountDownLatch(1);
+        serve(1, (request, connection) -> {
+            atWork.countDown();
+            Thread.sleep(700);
+            connection.send(ScriptedEndpoint.ok(request, "whole"));
+        });
+        try (Socket caller = edge.connect()) {
+            caller.getOutputStream().write(EdgeFixture.get("/file/x", "a1").getBytes(StandardCharsets.ISO_8859_1));
+            assertTrue(atWork.await(5, TimeUnit.SECONDS));
+            edge.server().drain(System.nanoTime() + TimeUnit.SECONDS.toNanos(10));
+            edge.server().stop();
+            String answer = EdgeFixture.readAll(caller.getInputStream());
+            assertTrue(answer.endsWith("whole"), answer);
+            assertTrue(answer.toLowerCase().contains("connection: close"), answer);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/bulrushwheel/server/edge/ScriptedEndpoint.java
@@ -0,0 +1,153 @@
+package org.bulrushwheel.server.edge;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** Endpoint whose bytes a test decides. Each connection has its thread. */
+final class ScriptedEndpoint implements AutoCloseable {
+    /** A request as it came. */
+    record Received(String line, Map<String, String> headers, String body) {
+        String header(String name) {
+            return headers.getOrDefault(name.toLowerCase(Locale.ROOT), "");
+        }
+    }
+
+    /** Answers a request on its connection. */
+    interface Script {
+        void answer(Received request, Connection connection) throws IOException, InterruptedException;
+    }
+
+    /** One connection of a caller. */
+    record Connection(Socket socket, OutputStream output) {
+        void send(String bytes) throws IOException {
+            output.write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+            output.flush();
+        }
+
+        /** Ends with a reset instead of a clean end. */
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
+        /** Waits until the other side ends the connection. */
+        boolean isClosedWithin(int millis) throws IOException {
+            socket.setSoTimeout(millis);
+            try {
+                return socket.getInputStream().read() < 0;
+            } catch (java.net.SocketTimeoutException e) {
+                return false;
+            } catch (IOException e) {
+                return true;
+            }
+        }
+    }
+
+    private final ServerSocket listener;
+    private final Script script;
+    private final List<Received> received = new CopyOnWriteArrayList<>();
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+
+    ScriptedEndpoint(Script script) throws IOException {
+        this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this.script = script;
+        start(this::accept);
+    }
+
+    static String ok(Received request, String body) {
+        return "HTTP/1.1 200 OK\r\nBulrushwheel-Request-Id: " + request.header("Bulrushwheel-Request-Id")
+                + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    static String notExecuted() {
+        return "HTTP/1.1 503 Service Unavailable\r\nBulrushwheel-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    List<Received> received() {
+        return received;
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    private void accept() throws IOException {
+        while (!listener.isClosed()) {
+            Socket socket = listener.accept();
+            sockets.add(socket);
+            start(() -> serve(socket));
+        }
+    }
+
+    private void serve(Socket socket) throws IOException, InterruptedException {
+        InputStream input = new BufferedInputStream(socket.getInputStream());
+        Connection connection = new Connection(socket, socket.getOutputStream());
+        while (!socket.isClosed()) {
+            String line = readLine(input);
+            if (line.isEmpty()) {
+                return;
+            }
+            Map<String, String> headers = new TreeMap<>();
+            for (String header = readLine(input); !header.isEmpty(); header = readLine(input)) {
+                int colon = header.indexOf(':');
+                headers.put(
+                        header.substring(0, colon).toLowerCase(Locale.ROOT),
+                        header.substring(colon + 1).strip());
+            }
+            int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+            Received request =
+                    new Received(line, headers, new String(input.readNBytes(length), StandardCharsets.ISO_8859_1));
+            received.add(request);
+            script.answer(request, connection);
+        }
+    }
+
+    private static String readLine(InputStream input) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int next = input.read(); next >= 0 && next != '\n'; next = input.read()) {
+            if (next != '\r') {
+                line.write(next);
+            }
+        }
+        return line.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Work that may fail when the test ends its connection. */
+    private interface Work {
+        void run() throws IOException, InterruptedException;
+    }
+
+    private static void start(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (IOException e) {
+                // The test or the other side has closed the connection.
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/bulrushwheel/server/fleet/LocalFleetTest.java
@@ -0,0 +1,145 @@
+package org.bulrushwheel.server.fleet;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+
+import org.bulrushwheel.client.HttpAnswer;
+import org.bulrushwheel.client.HttpCaller;
+import org.bulrushwheel.daemon.DefaultInterfaces;
+import org.bulrushwheel.local.LocalFleet;
+import org.bulrushwheel.model.settings.ZonePlace;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Control and entry instances that know three seeds, through their own interfaces. */
+@Timeout(120)
+class LocalFleetTest {
+    private static final List<ZonePlace> ZONES =
+            List.of(new ZonePlace("a1", "a"), new ZonePlace("b1", "b"), new ZonePlace("c1", "c"));
+    private static final String NOBODY_LISTENS = "127.0.0.1:1";
+
+    private final HttpCaller http = new HttpCaller();
+    private final LocalFleet fleet = LocalFleet.start(4, 2, ZONES, new DefaultInterfaces());
+
+    @AfterEach
+    void close() {
+        fleet.close();
+    }
+
+    private static String traffic(long version, String prefix) {
+        return """
+                {"version": %d, "routes": [{"name": "r", "host": "host.example", "pathPrefix": "%s",
+                 "kind": "REPEATABLE", "timeoutMillis": 500, "targetLatencyMillis": 500, "priority": 1,
+                 "split": [{"service": "desk", "weight": 1}], "maxAttempts": 2, "affinity": true, "homeRegions": []}],
+                 "services": [{"name": "desk", "healthPath": "/", "maxConnections": 9, "coldStartMillis": 0,
+                 "coldRequestsPerSecond": 9}], "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 1000,
+                 "headerTimeoutMillis": 3000, "idleTimeoutMillis": 15000}}
+                """
+                .formatted(version, prefix);
+    }
+
+    private HttpAnswer put(int control, String path, String body) {
+        return http.call("PUT", fleet.controlAddress(control), path, Map.of(), body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private boolean accepted(int control, String document) {
+        return put(control, DefaultInterfaces.TRAFFIC, document).status() == 200;
+    }
+
+    private HttpAnswer read(int control) {
+        return http.get(fleet.controlAddress(control), DefaultInterfaces.TRAFFIC);
+    }
+
+    private int delete(int control, String path) {
+        return http.call("DELETE", fleet.controlAddress(control), path, Map.of(), new byte[0])
+                .status();
+    }
+
+    private static void eventually(String what, BooleanSupplier condition) {
+        long deadlineNanos = System.nanoTime() + 30_000_000_000L;
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() - deadlineNanos < 0, what);
+            try {
+                Thread.sleep(50);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    @Test
+    void acceptedConfigurationIsReadBackAsItWasSentAndNeverReplacedByAnOlderOne() {
+        String newest = traffic(7, "/new/");
+        eventually("no configuration was accepted", () -> accepted(3, newest));
+        assertEquals(200, put(0, DefaultInterfaces.TRAFFIC, traffic(5, "/old/")).status());
+        assertEquals(
+                200, put(1, DefaultInterfaces.TRAFFIC, traffic(7, "/other/")).status());
+        assertEquals(
+                400, put(1, DefaultInterfaces.TRAFFIC, newest.substring(0, 99)).status());
+        assertEquals(
+                400, put(2, DefaultInterfaces.TRAFFIC, traffic(9, "no-slash/")).status());
+        for (int control = 0; control < 4; control++) {
+            int asked = control;
+            eventually("no read was answered", () -> read(asked).status() == 200);
+            assertEquals(newest, read(control).text());
+        }
+        eventually(
+                "an entry instance is not ready",
+                () -> http.get(fleet.readinessAddress(0), DefaultInterfaces.READY)
+                                .status()
+                        == 200);
+    }
+
+    @Test
+    void replicaWhoseDiskIsLostLearnsFromTheOthersBeforeItVotes() {
+        eventually("no configuration was accepted", () -> accepted(0, traffic(1, "/first/")));
+        fleet.stopControl(0);
+        fleet.emptyDisk(0);
+        eventually("no configuration was accepted without one seed", () -> accepted(1, traffic(2, "/second/")));
+        fleet.startControlAgain(0);
+        eventually("the empty replica does not answer", () -> read(0).status() == 200);
+        assertEquals(traffic(2, "/second/"), read(0).text());
+    }
+
+    @Test
+    void lookUpNamesEntryInstancesUntilTheyLeave() {
+        eventually("no configuration was accepted", () -> accepted(0, traffic(1, "/first/")));
+        String path = DefaultInterfaces.ENTRIES + "?zone=a1&region=a";
+        eventually(
+                "an entry instance is not named",
+                () -> http.get(fleet.lookupAddress(2), path).text().contains(fleet.callerAddress(0)));
+        fleet.stopEntry(0);
+        eventually(
+                "an entry instance that has left is named",
+                () -> !http.get(fleet.lookupAddress(2), path).text().contains(fleet.callerAddress(0)));
+        fleet.startEntryAgain(0);
+        eventually(
+                "an entry instance that is back is not named",
+                () -> http.get(fleet.lookupAddress(2), path).text().contains(fleet.callerAddress(0)));
+    }
+
+    @Test
+    void endpointsLeaveIsAcknowledgedByAnyControlInstance() {
+        String record =
+                """
+                {"service": "desk", "address": "%s", "zone": "a1", "slots": 3, "draining": %s, "bornEpochMillis": 5,
+                 "sequence": %d, "coldRemainingMillis": 0}
+                """;
+        String path = DefaultInterfaces.ENDPOINTS + "e1";
+        eventually(
+                "an endpoint was not registered",
+                () -> put(0, path, record.formatted(NOBODY_LISTENS, "false", 1)).status() == 200);
+        eventually(
+                "a drain was not acknowledged",
+                () -> put(3, path, record.formatted(NOBODY_LISTENS, "true", 2)).status() == 200);
+        assertEquals(400, put(1, path, "{\"service\": 5").status());
+        eventually("a leave was not acknowledged", () -> delete(1, path) == 200);
+        eventually("a leave that came again was not acknowledged", () -> delete(2, path) == 200);
+    }
+}
