--- a/src/main/java/org/bulrushwheel/cli/Main.java
+++ b/src/main/java/org/bulrushwheel/cli/Main.java
@@ -18,6 +18,7 @@
             ServeCommand.class,
             EntryCommand.class,
             ControlInstanceCommand.class,
+            RehearseCommand.class,
             ConfigCommand.class,
             ControlCommand.class,
             LookupCommand.class,
