Refuse requests that break endpoints on every entry instance, and read settings at SIGHUP

Cause: the virtual machine ends at a hang-up signal, which the platform sends when settings change; nothing told the other entry instances of a request that crashes its endpoints; pooled connections that went silent showed only at a deadline.

Change: a signal handler reads the settings again; poison records go from an entry instance through its control instance to all others; keep-alive probes on connections to endpoints.

--- a/src/main/java/org/bulrushwheel/cli/FleetOptions.java
+++ b/src/main/java/org/bulrushwheel/cli/FleetOptions.java
@@ -9,6 +9,7 @@
 import org.bulrushwheel.logic.settings.SettingsReader;
 import org.bulrushwheel.model.settings.FleetSettings;
 import picocli.CommandLine.Option;
+import sun.misc.Signal;
 
 /** Options of the processes of a deployment that is found from seeds. */
 final class FleetOptions {
@@ -36,6 +37,8 @@
             close.run();
             stopped.countDown();
         }));
+        // The virtual machine would take a hang-up for the signal to stop; settings are read again instead.
+        Signal.handle(new Signal("HUP"), signal -> watch.readAgain());
         watch.start();
         start.run();
         stopped.await();
--- a/src/main/java/org/bulrushwheel/daemon/EdgeDaemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/EdgeDaemon.java
@@ -62,6 +62,8 @@
                 time,
                 metrics));
         subscription.onView(edge::use);
+        subscription.onPoison(edge::mergePoison);
+        edge.onPoison(subscription::tell);
         kernel.register(new ApiServer(
                 "readiness-api",
                 Address.parse(
--- a/src/main/java/org/bulrushwheel/daemon/SettingsWatch.java
+++ b/src/main/java/org/bulrushwheel/daemon/SettingsWatch.java
@@ -59,7 +59,8 @@
         return current;
     }
 
-    private synchronized void readAgain() {
+    /** Reads the file again now; a file that can't be read changes nothing. */
+    public synchronized void readAgain() {
         try {
             String latest = Files.readString(file);
             if (latest.equals(document)) {
--- a/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
@@ -3,18 +3,23 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.Future;
+import jdk.net.ExtendedSocketOptions;
 import org.bulrushwheel.logic.fleet.FleetView;
 import org.bulrushwheel.logic.placement.EndpointChooser;
+import org.bulrushwheel.logic.retry.PoisonRegistry;
 import org.bulrushwheel.logic.retry.WindowedRetryBudget;
 import org.bulrushwheel.logic.time.TimeSource;
 import org.bulrushwheel.model.instance.Address;
+import org.bulrushwheel.model.proto.PoisonRecord;
 import org.bulrushwheel.model.traffic.Endpoint;
 
 /**
@@ -26,6 +31,10 @@
     // Beyond two ways between regions a silent address is taken for dead and another endpoint is tried.
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
 
+    // Connections may go silent without an end; probes show it within about three seconds.
+    private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
+    private static final int KEEP_ALIVE_PROBES = 2;
+
     private final EdgeSettings settings;
     private final EdgeHeaders names;
     private final EventLoop loop;
@@ -35,6 +44,8 @@
     private final Bootstrap bootstrap;
     private final Map<String, EndpointPool> poolsByEndpoint = new HashMap<>();
     private final Map<String, WindowedRetryBudget> budgetsByService = new HashMap<>();
+    private final PoisonRegistry poison = new PoisonRegistry();
+    private Consumer<PoisonRecord> poisonListener = record -> {};
     private FleetView view = FleetView.empty();
 
     EdgeContext(EdgeSettings settings, EdgeHeaders names, EventLoop loop, TimeSource time, MetricRegistry metrics) {
@@ -48,6 +59,10 @@
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_IDLE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
     }
 
@@ -91,6 +106,33 @@
                         settings.retryWindowMillis(), settings.retryRatio(), settings.retrySlack()));
     }
 
+    /** Sets who tells the other instances of requests that were in flight when endpoints broke off. */
+    void onPoison(Consumer<PoisonRecord> listener) {
+        poisonListener = listener;
+    }
+
+    /** Takes what another instance knows of a request. */
+    void mergePoison(PoisonRecord record) {
+        poison.merge(record, nowMillis());
+    }
+
+    /** Whether a request has broken too many endpoints to be sent to another. */
+    boolean isPoison(CallerRequest request) {
+        return !poison.isEmpty() && poison.isPoison(RequestFingerprint.of(request), nowMillis());
+    }
+
+    /** Notes that an endpoint broke off while it had a request. */
+    void brokeOff(CallerRequest request, Endpoint endpoint) {
+        poisonListener.accept(poison.onCrash(RequestFingerprint.of(request), endpoint.id(), nowMillis()));
+    }
+
+    /** Notes that an endpoint answered a request. */
+    void answered(CallerRequest request) {
+        if (!poison.isEmpty()) {
+            poison.onAnswer(RequestFingerprint.of(request)).ifPresent(poisonListener);
+        }
+    }
+
     void use(FleetView newView) {
         view = newView;
         chooser.use(newView);
--- a/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.ServerBootstrap;
@@ -17,6 +18,7 @@
 import org.bulrushwheel.kernel.KernelService;
 import org.bulrushwheel.logic.fleet.FleetView;
 import org.bulrushwheel.logic.time.TimeSource;
+import org.bulrushwheel.model.proto.PoisonRecord;
 import org.bulrushwheel.model.traffic.CallerLimits;
 import org.bulrushwheel.model.traffic.TrafficConfiguration;
 import org.jspecify.annotations.Nullable;
@@ -63,6 +65,16 @@
         context.use(view);
     }
 
+    /** Sets who tells the other instances of requests that were in flight when endpoints broke off. */
+    public void onPoison(Consumer<PoisonRecord> listener) {
+        context.onPoison(listener);
+    }
+
+    /** Takes what another instance knows of a request; called on the event loop. */
+    public void mergePoison(PoisonRecord record) {
+        context.mergePoison(record);
+    }
+
     @Override
     public void start() {
         listener = new ServerBootstrap()
--- a/src/main/java/org/bulrushwheel/server/edge/Exchange.java
+++ b/src/main/java/org/bulrushwheel/server/edge/Exchange.java
@@ -78,6 +78,10 @@
             finish(EdgeAnswer.own(404, "no route has this host and path"), "no-route");
             return;
         }
+        if (context.isPoison(request)) {
+            finish(EdgeAnswer.own(503, "endpoints broke off at this request; not run"), "poison");
+            return;
+        }
         route = found.get();
         service = SplitChoice.of(found.get(), requestId());
         long waitMillis = request.millisHeader(context.names().deadlineMillis())
@@ -210,6 +214,7 @@
             attemptBroken(endpoint, "answer without signature");
             return;
         }
+        context.answered(request);
         boolean serverError = answer.status().code() >= 500;
         if (serverError && repeatable()) {
             keep(answer);
@@ -236,7 +241,10 @@
         LOGGER.debug("request={} endpoint={} broken: {}", requestId(), endpoint.id(), reason);
         context.count("edge.retries.broken");
         context.chooser().failed(endpoint, context.nowMillis());
-        if (repeatable()) {
+        context.brokeOff(request, endpoint);
+        if (repeatable() && context.isPoison(request)) {
+            giveUp("poison");
+        } else if (repeatable()) {
             attempt();
         } else {
             finish(EdgeAnswer.own(502, "the endpoint broke off; the request may have run"), "broken");
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/server/edge/RequestFingerprint.java
@@ -0,0 +1,27 @@
+package org.bulrushwheel.server.edge;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * What a request that is sent again has in common with itself: method, host, target and body.
+ *
+ * <p>Stateless and thread safe.
+ */
+final class RequestFingerprint {
+    private RequestFingerprint() {}
+
+    static String of(CallerRequest request) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            String head = request.method() + " " + request.host() + " " + request.target();
+            digest.update(head.getBytes(StandardCharsets.UTF_8));
+            digest.update(request.body().nioBuffer());
+            return HexFormat.of().formatHex(digest.digest());
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("this Java has no SHA-256; run one that does", e);
+        }
+    }
+}
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
 import org.bulrushwheel.control.ControlService;
@@ -15,6 +16,7 @@
 import org.bulrushwheel.model.proto.FleetHello;
 import org.bulrushwheel.model.proto.FleetUpdate;
 import org.bulrushwheel.model.proto.Frame;
+import org.bulrushwheel.model.proto.PoisonNotice;
 import org.bulrushwheel.wire.PeerNetwork;
 
 /**
@@ -57,6 +59,9 @@
         peers.handle(Frame.BodyCase.ENTRY_SUMMARY, (frame, reply) -> frame.getEntrySummary()
                 .getEntriesList()
                 .forEach(entry -> directory.heard(entry, false)));
+        peers.handle(
+                Frame.BodyCase.POISON_NOTICE,
+                (frame, reply) -> control.execute(state -> passOn(frame.getSender(), frame.getPoisonNotice())));
     }
 
     @Override
@@ -108,17 +113,31 @@
         subscribers.put(peer, new Subscriber(fleet.revision(), subscriber.deadlineMillis()));
     }
 
+    /** Tells every entry instance but the sender of suspect requests; one way through each control instance. */
+    private void passOn(String sender, PoisonNotice notice) {
+        subscribers.keySet().stream()
+                .filter(peer -> !peer.equals(sender))
+                .forEach(peer -> peers.send(peer, Frame.newBuilder().setPoisonNotice(notice)));
+        if (!notice.getForwarded()) {
+            PoisonNotice forwarded = notice.toBuilder().setForwarded(true).build();
+            sendToOthers(() -> Frame.newBuilder().setPoisonNotice(forwarded));
+        }
+    }
+
     private void sendSummary() {
         EntrySummary summary = EntrySummary.newBuilder()
                 .addAllEntries(directory.heardDirectly())
                 .build();
-        if (summary.getEntriesCount() == 0) {
-            return;
+        if (summary.getEntriesCount() > 0) {
+            sendToOthers(() -> Frame.newBuilder().setEntrySummary(summary));
         }
+    }
+
+    private void sendToOthers(Supplier<Frame.Builder> frame) {
         for (String voter : control.status().voters()) {
             String peer = ReplicaId.parse(voter).instance();
             if (!peer.equals(self)) {
-                peers.send(peer, Frame.newBuilder().setEntrySummary(summary));
+                peers.send(peer, frame.get());
             }
         }
     }
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetSubscription.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetSubscription.java
@@ -18,6 +18,8 @@
 import org.bulrushwheel.model.proto.FleetHello;
 import org.bulrushwheel.model.proto.FleetUpdate;
 import org.bulrushwheel.model.proto.Frame;
+import org.bulrushwheel.model.proto.PoisonNotice;
+import org.bulrushwheel.model.proto.PoisonRecord;
 import org.bulrushwheel.model.traffic.TrafficDocumentCodec;
 import org.bulrushwheel.wire.PeerNetwork;
 import org.slf4j.Logger;
@@ -96,6 +98,23 @@
         listeners.add(listener);
     }
 
+    /** Tells the other entry instances, by way of the control instances, of a suspect request. */
+    public void tell(PoisonRecord record) {
+        if (!source.isEmpty()) {
+            peers.send(
+                    source,
+                    Frame.newBuilder().setPoisonNotice(PoisonNotice.newBuilder().addRecords(record)));
+        }
+    }
+
+    /** Sets who hears of suspect requests of other entry instances; called on the event loop. */
+    public void onPoison(Consumer<PoisonRecord> listener) {
+        peers.handle(
+                Frame.BodyCase.POISON_NOTICE,
+                (frame, reply) -> loop.execute(
+                        () -> frame.getPoisonNotice().getRecordsList().forEach(listener)));
+    }
+
     /** Whether this instance has a configuration and does not leave. */
     public boolean isReady() {
         return ready && !leaving;
--- a/src/test/java/org/bulrushwheel/server/edge/EdgeFixture.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeFixture.java
@@ -22,6 +22,7 @@
 import org.bulrushwheel.model.instance.Address;
 import org.bulrushwheel.model.proto.EndpointRecord;
 import org.bulrushwheel.model.proto.FleetUpdate;
+import org.bulrushwheel.model.proto.PoisonRecord;
 import org.bulrushwheel.model.proto.TrafficDocument;
 
 /** Listener for callers with a view that a test decides, and a caller of single bytes. */
@@ -85,6 +86,11 @@
                 .syncUninterruptibly();
     }
 
+    /** Takes what other instances know of requests. */
+    void hear(List<PoisonRecord> records) {
+        loop.submit(() -> records.forEach(server::mergePoison)).syncUninterruptibly();
+    }
+
     static EndpointRecord endpoint(String id, ScriptedEndpoint endpoint) {
         return EndpointRecord.newBuilder()
                 .setId(id)
--- a/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
@@ -6,12 +6,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.bulrushwheel.model.proto.EndpointRecord;
 import org.bulrushwheel.model.proto.FleetUpdate;
+import org.bulrushwheel.model.proto.PoisonRecord;
 import org.bulrushwheel.model.proto.ZoneEvacuation;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -268,6 +270,35 @@
         assertEquals(10, received());
     }
 
+    @Test
+    void requestThatBrokeTwoEndpointsIsSentToNoThird() throws IOException {
+        serve(5, (request, connection) -> connection.reset());
+        List<PoisonRecord> told = new CopyOnWriteArrayList<>();
+        edge.server().onPoison(told::add);
+        for (int again = 0; again < 4; again++) {
+            edge.call("/read/x", "a" + again);
+        }
+        assertEquals(2, received());
+        assertEquals(2, told.size());
+        assertTrue(edge.call("/read/other", "b1").startsWith("HTTP/1.1 502"), "another request is no poison");
+    }
+
+    @Test
+    void requestThatBrokeEndpointsElsewhereIsRefusedHere() throws IOException {
+        serve(2, (request, connection) -> connection.reset());
+        List<PoisonRecord> told = new CopyOnWriteArrayList<>();
+        edge.server().onPoison(told::add);
+        edge.call("/read/x", "a1");
+        try (EdgeFixture other = new EdgeFixture()) {
+            ScriptedEndpoint sound =
+                    endpoint((request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
+            other.configure(List.of(EdgeFixture.endpoint("e9", sound)));
+            other.hear(told);
+            assertTrue(other.call("/read/x", "a2").startsWith("HTTP/1.1 503"));
+            assertEquals(0, sound.received().size());
+        }
+    }
+
     @Test
     void plannedStopCutsNothing() throws Exception {
         CountDownLatch atWork = new CountDownLatch(1);
