--- a/src/main/java/org/bulrushwheel/control/ControlService.java
+++ b/src/main/java/org/bulrushwheel/control/ControlService.java
@@ -66,8 +66,6 @@
     private static final long REMOVAL_PAUSE_MILLIS = 1_000;
     // Longer than any restart; a replica that comes back later joins again with the log that it has.
     private static final long LOST_VOTER_MILLIS = 12_000;
-    private static final long SNAPSHOT_LOG_BYTES = 32L * 1024 * 1024;
-    private static final long ENTRIES_KEPT = 1_000;
     private static final int MAX_BATCH = 512;
 
     private final ReplicaSettings settings;
@@ -383,7 +381,7 @@
     private void maybeSnapshot() {
         RaftNode raft = requireNode();
         ReplicaStorage files = requireStorage();
-        if (files.logSizeBytes() < SNAPSHOT_LOG_BYTES || appliedIndex <= files.snapshotIndex()) {
+        if (files.logSizeBytes() < settings.snapshotLogBytes() || appliedIndex <= files.snapshotIndex()) {
             return;
         }
         SnapshotFile snapshot = SnapshotFile.newBuilder()
@@ -393,7 +391,7 @@
                 .setState(state.snapshot().toByteString())
                 .build();
         files.saveSnapshot(snapshot, raft.entriesAfter(appliedIndex));
-        raft.compact(snapshot, ENTRIES_KEPT);
+        raft.compact(snapshot, settings.entriesKept());
         metrics.counter("control.snapshots").inc();
     }
 
--- a/src/main/java/org/bulrushwheel/daemon/FleetControlDaemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/FleetControlDaemon.java
@@ -42,6 +42,9 @@
 public final class FleetControlDaemon implements AutoCloseable {
     // Announcements may come seconds late; four in a row don't.
     private static final int ANNOUNCEMENTS_MISSED = 4;
+    // A process with a small heap reads its log in full when it starts.
+    private static final long SNAPSHOT_LOG_BYTES = 4L * 1024 * 1024;
+    private static final long ENTRIES_KEPT = 200;
     // Answers under way are written by then.
     private static final long DRAIN_MILLIS = 300;
 
@@ -62,7 +65,9 @@
                         settings.peerAddress(),
                         settings.dataPath().orElseThrow(),
                         () -> watch.current().seedPeers(),
-                        true),
+                        true,
+                        SNAPSHOT_LOG_BYTES,
+                        ENTRIES_KEPT),
                 peers,
                 time,
                 RandomGenerator.getDefault(),
--- a/src/test/java/org/bulrushwheel/server/fleet/LocalFleetTest.java
+++ b/src/test/java/org/bulrushwheel/server/fleet/LocalFleetTest.java
@@ -107,6 +107,24 @@
         assertEquals(traffic(2, "/second/"), read(0).text());
     }
 
+    /** Documents of 200 KB, so that the log is replaced by snapshots while a replica is away. */
+    @Test
+    void replicaThatMissedManyLargeChangesCatchesUp() {
+        eventually("no configuration was accepted", () -> accepted(0, traffic(1, "/first/")));
+        fleet.stopControl(3);
+        String filler = " ".repeat(200_000);
+        for (long version = 2; version <= 40; version++) {
+            String document = traffic(version, "/v" + version + "/") + filler;
+            eventually("a configuration was not accepted", () -> accepted(0, document));
+        }
+        fleet.startControlAgain(3);
+        fleet.stopControl(1);
+        String last = traffic(41, "/last/");
+        eventually("the replica that was away does not take part", () -> accepted(3, last));
+        eventually("no read was answered", () -> read(3).status() == 200);
+        assertEquals(last, read(3).text());
+    }
+
     @Test
     void lookUpNamesEntryInstancesUntilTheyLeave() {
         eventually("no configuration was accepted", () -> accepted(0, traffic(1, "/first/")));
