Turn to the control instance of the same zone, by what it says of itself

Cause: entry instances took the control instance whose address shared the longest beginning with theirs for the nearest, which is right only where addresses follow zones, and never returned to their zone's after an outage.

Change: control instances tell their places in the summaries that they exchange; entry instances order them by zone and region and return to their zone's, once it is heard by others, after 5 s.

--- a/src/main/java/org/bulrushwheel/daemon/FleetControlDaemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/FleetControlDaemon.java
@@ -23,6 +23,7 @@
 import org.bulrushwheel.model.instance.Address;
 import org.bulrushwheel.model.proto.EndpointLeave;
 import org.bulrushwheel.model.proto.EndpointRecord;
+import org.bulrushwheel.model.proto.ReplicaPlace;
 import org.bulrushwheel.model.proto.TrafficDocument;
 import org.bulrushwheel.model.settings.FleetSettings;
 import org.bulrushwheel.server.api.ApiServer;
@@ -76,7 +77,7 @@
         EndpointRegistry registry = kernel.register(new EndpointRegistry(
                 control, client, peers, settings.bounds().announcementMillis() * ANNOUNCEMENTS_MISSED, time, metrics));
         EntryDirectory directory = new EntryDirectory(time);
-        kernel.register(new FleetPublisher(settings.peerAddress(), control, directory, peers, time, metrics));
+        kernel.register(new FleetPublisher(place(), control, directory, peers, time, metrics));
         FleetServices services = new ControlServices(
                 new FleetAdministration(client, interfaces.trafficCodec()),
                 registry,
@@ -117,6 +118,14 @@
         kernel.stop(System.nanoTime());
     }
 
+    private ReplicaPlace place() {
+        return ReplicaPlace.newBuilder()
+                .setPeerAddress(settings.peerAddress())
+                .setZone(settings.zone())
+                .setRegion(settings.region())
+                .build();
+    }
+
     /** Replicas to ask, the leader first as far as it is known. */
     private List<String> replicas(ControlService control) {
         Set<String> known = new LinkedHashSet<>();
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
@@ -17,6 +17,7 @@
 import org.bulrushwheel.model.proto.FleetUpdate;
 import org.bulrushwheel.model.proto.Frame;
 import org.bulrushwheel.model.proto.PoisonNotice;
+import org.bulrushwheel.model.proto.ReplicaPlace;
 import org.bulrushwheel.wire.PeerNetwork;
 
 /**
@@ -32,7 +33,7 @@
 
     private record Subscriber(long haveRevision, long deadlineMillis) {}
 
-    private final String self;
+    private final ReplicaPlaces places;
     private final ControlService control;
     private final EntryDirectory directory;
     private final PeerNetwork peers;
@@ -42,13 +43,13 @@
 
     /** A publisher on a control instance. */
     public FleetPublisher(
-            String self,
+            ReplicaPlace self,
             ControlService control,
             EntryDirectory directory,
             PeerNetwork peers,
             TimeSource time,
             MetricRegistry metrics) {
-        this.self = self;
+        this.places = new ReplicaPlaces(self, time);
         this.control = control;
         this.directory = directory;
         this.peers = peers;
@@ -56,9 +57,7 @@
         this.timer = new ServiceTimer(NAME, metrics);
         control.onFleet(this::publish);
         peers.handle(Frame.BodyCase.FLEET_HELLO, (frame, reply) -> onHello(frame.getFleetHello()));
-        peers.handle(Frame.BodyCase.ENTRY_SUMMARY, (frame, reply) -> frame.getEntrySummary()
-                .getEntriesList()
-                .forEach(entry -> directory.heard(entry, false)));
+        peers.handle(Frame.BodyCase.ENTRY_SUMMARY, (frame, reply) -> onSummary(frame.getEntrySummary()));
         peers.handle(
                 Frame.BodyCase.POISON_NOTICE,
                 (frame, reply) -> control.execute(state -> passOn(frame.getSender(), frame.getPoisonNotice())));
@@ -107,7 +106,8 @@
                 .setCurrent(status.hearsLeader())
                 .setEntryInstances(directory.serving().size());
         status.voters()
-                .forEach(voter -> update.addReplicas(ReplicaId.parse(voter).instance()));
+                .forEach(voter ->
+                        update.addReplicas(places.of(ReplicaId.parse(voter).instance())));
         peers.send(peer, Frame.newBuilder().setFleetUpdate(update));
         // Only a hello says what really arrived; until then the rest is not sent twice.
         subscribers.put(peer, new Subscriber(fleet.revision(), subscriber.deadlineMillis()));
@@ -124,19 +124,23 @@
         }
     }
 
+    private void onSummary(EntrySummary summary) {
+        places.heard(summary.getPlace());
+        summary.getEntriesList().forEach(entry -> directory.heard(entry, false));
+    }
+
     private void sendSummary() {
         EntrySummary summary = EntrySummary.newBuilder()
+                .setPlace(places.self())
                 .addAllEntries(directory.heardDirectly())
                 .build();
-        if (summary.getEntriesCount() > 0) {
-            sendToOthers(() -> Frame.newBuilder().setEntrySummary(summary));
-        }
+        sendToOthers(() -> Frame.newBuilder().setEntrySummary(summary));
     }
 
     private void sendToOthers(Supplier<Frame.Builder> frame) {
         for (String voter : control.status().voters()) {
             String peer = ReplicaId.parse(voter).instance();
-            if (!peer.equals(self)) {
+            if (!peer.equals(places.self().getPeerAddress())) {
                 peers.send(peer, frame.get());
             }
         }
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetSubscription.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetSubscription.java
@@ -1,10 +1,8 @@
 package org.bulrushwheel.server.fleet;
 
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -13,6 +11,7 @@
 import io.netty.channel.EventLoop;
 import org.bulrushwheel.kernel.KernelService;
 import org.bulrushwheel.logic.fleet.FleetView;
+import org.bulrushwheel.logic.fleet.SourceChoice;
 import org.bulrushwheel.logic.time.TimeSource;
 import org.bulrushwheel.model.proto.EntryRecord;
 import org.bulrushwheel.model.proto.FleetHello;
@@ -20,6 +19,7 @@
 import org.bulrushwheel.model.proto.Frame;
 import org.bulrushwheel.model.proto.PoisonNotice;
 import org.bulrushwheel.model.proto.PoisonRecord;
+import org.bulrushwheel.model.proto.ReplicaPlace;
 import org.bulrushwheel.model.traffic.TrafficDocumentCodec;
 import org.bulrushwheel.wire.PeerNetwork;
 import org.slf4j.Logger;
@@ -39,6 +39,8 @@
     private static final long HELLO_PAUSE_MILLIS = 300;
     // Three hellos unanswered, or two ways between regions and an election.
     private static final long SILENT_MILLIS = 1_000;
+    // A control instance that has come back is left alone until it has caught up.
+    private static final long RETURN_MILLIS = 5_000;
     // Budgets shared by all instances must not grow while a part of them is cut off for minutes.
     private static final double FORGOTTEN_PART = 0.002;
 
@@ -51,7 +53,7 @@
     private final TimeSource time;
     private final MetricRegistry metrics;
     private final List<Consumer<FleetView>> listeners = new ArrayList<>();
-    private final Set<String> replicas = new LinkedHashSet<>();
+    private List<ReplicaPlace> replicas = List.of();
     private FleetView view = FleetView.empty();
     private String source = "";
     private long currentMillis;
@@ -139,36 +141,35 @@
     private void tick() {
         long nowMillis = time.monotonicMillis();
         boolean stale = nowMillis - currentMillis > SILENT_MILLIS && nowMillis - switchedMillis > SILENT_MILLIS;
+        boolean farther = nowMillis - switchedMillis > RETURN_MILLIS
+                && SourceChoice.isNearerThere(source, self.getZone(), replicas);
         if (source.isEmpty() || stale) {
-            switchSource(nowMillis);
+            switchSource(nowMillis, source);
+        } else if (farther) {
+            switchSource(nowMillis, "");
         }
         sayHello();
     }
 
-    private void switchSource(long nowMillis) {
-        List<String> candidates = candidates();
+    /** Turns to the control instance that stands behind another in the order, to the nearest behind none. */
+    private void switchSource(long nowMillis, String behind) {
+        List<String> candidates = SourceChoice.order(self.getZone(), self.getRegion(), replicas, seeds.get());
         if (candidates.isEmpty()) {
             return;
         }
-        String next = candidates.get((candidates.indexOf(source) + 1) % candidates.size());
+        String next = candidates.get((candidates.indexOf(behind) + 1) % candidates.size());
         if (!source.isEmpty() && !source.equals(next)) {
             metrics.counter("fleet.sources.left").inc();
-            LOGGER.info("control instance={} is silent or hears no leader, turning to {}", source, next);
+            LOGGER.info(
+                    "turning from control instance={} to {}, current {} ms ago",
+                    source,
+                    next,
+                    nowMillis - currentMillis);
         }
         source = next;
         switchedMillis = nowMillis;
     }
 
-    /** Control instances, those on this instance's own network first. */
-    private List<String> candidates() {
-        Set<String> known = new LinkedHashSet<>(replicas);
-        known.addAll(seeds.get());
-        return known.stream()
-                .sorted(java.util.Comparator.comparingInt((String peer) -> -sharedPrefix(peer, self.getPeerAddress()))
-                        .thenComparing(java.util.Comparator.naturalOrder()))
-                .toList();
-    }
-
     private void sayHello() {
         if (source.isEmpty()) {
             return;
@@ -187,8 +188,7 @@
             currentMillis = nowMillis;
         }
         if (update.getCurrent() && update.getReplicasCount() > 0) {
-            replicas.clear();
-            replicas.addAll(update.getReplicasList());
+            replicas = update.getReplicasList();
         }
         instances = Math.max(update.getEntryInstances(), instances * (1 - FORGOTTEN_PART));
         FleetUpdate counted = update.toBuilder()
@@ -205,12 +205,4 @@
         ready = next.traffic().isPresent();
         listeners.forEach(listener -> listener.accept(next));
     }
-
-    private static int sharedPrefix(String one, String other) {
-        int length = 0;
-        while (length < Math.min(one.length(), other.length()) && one.charAt(length) == other.charAt(length)) {
-            length++;
-        }
-        return length;
-    }
 }
