Keep idle connections to endpoints for 0.85 of their time, and read answers in one place

Change: 0.85, which leaves 1.5 s of 10 s; AnswerReader takes what an answer says beside its body out of Exchange.

--- a/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
@@ -37,6 +37,7 @@
 
     private final EdgeSettings settings;
     private final EdgeHeaders names;
+    private final AnswerReader answers;
     private final EventLoop loop;
     private final TimeSource time;
     private final MetricRegistry metrics;
@@ -51,6 +52,7 @@
     EdgeContext(EdgeSettings settings, EdgeHeaders names, EventLoop loop, TimeSource time, MetricRegistry metrics) {
         this.settings = settings;
         this.names = names;
+        this.answers = new AnswerReader(names);
         this.loop = loop;
         this.time = time;
         this.metrics = metrics;
@@ -70,6 +72,10 @@
         return names;
     }
 
+    AnswerReader answers() {
+        return answers;
+    }
+
     FleetView view() {
         return view;
     }
--- a/src/main/java/org/bulrushwheel/server/edge/EndpointPool.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EndpointPool.java
@@ -26,7 +26,7 @@
     private static final int MAX_CHUNK_BYTES = 65_536;
     private static final long DEFAULT_KEEP_ALIVE_MILLIS = 4_000;
     // The endpoint counts from when it wrote its answer; the rest covers the way and slow processes.
-    private static final double KEEP_ALIVE_USED_PART = 0.7;
+    private static final double KEEP_ALIVE_USED_PART = 0.85;
 
     private final Address address;
     private final Bootstrap bootstrap;
--- a/src/main/java/org/bulrushwheel/server/edge/Exchange.java
+++ b/src/main/java/org/bulrushwheel/server/edge/Exchange.java
@@ -1,7 +1,6 @@
 package org.bulrushwheel.server.edge;
 
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -195,21 +194,17 @@
             return;
         }
         long nowMillis = context.nowMillis();
-        learnLoad(endpoint, answer.headers(), nowMillis);
-        boolean notRun = answer.status().code() == 421
-                || answer.headers().contains(context.names().notExecuted());
-        if (notRun) {
+        context.answers().load(answer).ifPresent(load -> context.chooser().reported(endpoint, load, nowMillis));
+        if (context.answers().isNotRun(answer)) {
             answer.body().release();
-            if (answer.status().code() == 421) {
+            if (context.answers().isOtherEndpoint(answer)) {
                 context.chooser().failed(endpoint, nowMillis);
             }
             context.count("edge.retries.not-executed");
             attempt();
             return;
         }
-        boolean unsigned = !context.names().signature().isEmpty()
-                && !answer.headers().contains(context.names().signature());
-        if (unsigned) {
+        if (context.answers().isUnsigned(answer)) {
             answer.body().release();
             attemptBroken(endpoint, "answer without signature");
             return;
@@ -347,21 +342,6 @@
         lastAnswer = answer;
     }
 
-    private void learnLoad(Endpoint endpoint, HttpHeaders headers, long nowMillis) {
-        String load = headers.get(context.names().load());
-        if (load == null) {
-            return;
-        }
-        List<String> parts = List.of(load.split(","));
-        try {
-            int total = Integer.parseInt(parts.get(0).strip())
-                    + Integer.parseInt(parts.get(1).strip());
-            context.chooser().reported(endpoint, total, nowMillis);
-        } catch (NumberFormatException | IndexOutOfBoundsException e) {
-            context.count("edge.load.unreadable");
-        }
-    }
-
     private boolean repeatable() {
         return java.util.Objects.requireNonNull(route).kind() == RouteKind.REPEATABLE;
     }
