--- a/src/main/java/org/bulrushwheel/logic/placement/EndpointChooser.java
+++ b/src/main/java/org/bulrushwheel/logic/placement/EndpointChooser.java
@@ -24,8 +24,6 @@
     private static final double LEARNING_RATE = 0.05;
     // A request for an object that an endpoint has not handled of late takes about three times as long.
     private static final double MISS_COST = 2.0;
-    // A request that has waited for longer than it may stands behind at least as many as run.
-    private static final int QUEUE_AT_TIMEOUT_SLOTS = 2;
     // Instances don't take turns: twice the mean may meet in one second.
     private static final double COLD_USED_PART = 0.35;
 
@@ -79,11 +77,6 @@
         loadOf(endpoint).reported(runningAndWaiting, nowMillis);
     }
 
-    /** Learns that an endpoint did not answer a request before its deadline: its queue is long. */
-    public void timedOut(Endpoint endpoint, long nowMillis) {
-        loadOf(endpoint).reported(QUEUE_AT_TIMEOUT_SLOTS * endpoint.slots(), nowMillis);
-    }
-
     /** Learns that an endpoint could not be reached or broke off. */
     public void failed(Endpoint endpoint, long nowMillis) {
         loadOf(endpoint).failed(nowMillis);
@@ -105,10 +98,6 @@
             double missCost = query.affinity() && seen > 0 ? MISS_COST * serviceMillis : 0;
             double waitCost =
                     Math.max(0, load.estimate(nowMillis) + 1 - endpoint.slots()) * serviceMillis / endpoint.slots();
-            if (waitCost + serviceMillis > query.remainingMillis()) {
-                // It would only fill the queue and end unanswered.
-                continue;
-            }
             double cost = missCost + waitCost;
             if (cost < bestCost) {
                 best = endpoint;
--- a/src/main/java/org/bulrushwheel/logic/placement/EndpointLoad.java
+++ b/src/main/java/org/bulrushwheel/logic/placement/EndpointLoad.java
@@ -6,8 +6,8 @@
  * <p>Not thread safe.
  */
 final class EndpointLoad {
-    // A queue outlives the requests that were counted; a report fades until then.
-    private static final long REPORT_VALID_MILLIS = 2_000;
+    // A report says little once the requests it counted have ended.
+    private static final long REPORT_VALID_MILLIS = 700;
     private static final long FIRST_SUSPENSION_MILLIS = 500;
     private static final long LONGEST_SUSPENSION_MILLIS = 4_000;
 
@@ -48,10 +48,8 @@
         return nowMillis < suspendedDeadlineMillis;
     }
 
-    /** Requests that run or wait at the endpoint, as far as this instance knows. */
-    double estimate(long nowMillis) {
-        double fresh = Math.max(0, reportDeadlineMillis - nowMillis) / (double) REPORT_VALID_MILLIS;
-        return inFlight + reportedOfOthers * fresh;
+    int estimate(long nowMillis) {
+        return inFlight + (nowMillis < reportDeadlineMillis ? reportedOfOthers : 0);
     }
 
     int inFlight() {
--- a/src/main/java/org/bulrushwheel/logic/placement/PlacementQuery.java
+++ b/src/main/java/org/bulrushwheel/logic/placement/PlacementQuery.java
@@ -13,11 +13,9 @@
  * @param service service that the route's split has chosen
  * @param key object of the request, or the request's own id where it names none
  * @param affinity whether the object's endpoint is worth a wait
- * @param remainingMillis time until the request's deadline
  * @param tried endpoints that are not to be chosen again
  */
-public record PlacementQuery(
-        TrafficRoute route, String service, String key, boolean affinity, long remainingMillis, Set<String> tried) {
+public record PlacementQuery(TrafficRoute route, String service, String key, boolean affinity, Set<String> tried) {
     /** Copies the endpoints tried. */
     public PlacementQuery {
         tried = Set.copyOf(tried);
--- a/src/main/java/org/bulrushwheel/server/edge/Exchange.java
+++ b/src/main/java/org/bulrushwheel/server/edge/Exchange.java
@@ -123,15 +123,7 @@
         }
         Optional<String> key = request.header(context.names().affinityKey()).filter(any -> way.affinity());
         Optional<Endpoint> choice = context.chooser()
-                .choose(
-                        new PlacementQuery(
-                                way,
-                                service,
-                                key.orElse(requestId()),
-                                key.isPresent(),
-                                deadlineMillis - nowMillis,
-                                tried),
-                        nowMillis);
+                .choose(new PlacementQuery(way, service, key.orElse(requestId()), key.isPresent(), tried), nowMillis);
         if (choice.isEmpty()) {
             giveUp("no-endpoint");
             return;
@@ -276,9 +268,6 @@
             return;
         }
         uncertain = uncertain || atWork;
-        if (currentEndpoint != null && atWork) {
-            context.chooser().timedOut(currentEndpoint, context.nowMillis());
-        }
         abortCurrent();
         if (lastAnswer != null || !uncertain) {
             giveUp("deadline");
