--- a/src/main/java/org/bulrushwheel/cli/FleetOptions.java
+++ b/src/main/java/org/bulrushwheel/cli/FleetOptions.java
@@ -8,6 +8,7 @@
 import org.bulrushwheel.daemon.DefaultInterfaces;
 import org.bulrushwheel.daemon.FleetInterfaces;
 import org.bulrushwheel.daemon.SettingsWatch;
+import org.bulrushwheel.logging.LogOutput;
 import org.bulrushwheel.logic.settings.SettingsReader;
 import org.bulrushwheel.model.settings.FleetSettings;
 import org.bulrushwheel.platform.PlatformInterfaces;
@@ -32,14 +33,19 @@
     /** Interfaces that can be chosen. */
     enum Interfaces {
         OWN,
-        PLATFORM
+        PLATFORM;
+
+        FleetInterfaces make() {
+            return this == OWN ? new DefaultInterfaces() : new PlatformInterfaces();
+        }
     }
 
     FleetInterfaces interfaces() {
-        return interfaces == Interfaces.OWN ? new DefaultInterfaces() : new PlatformInterfaces();
+        return interfaces.make();
     }
 
     SettingsWatch watch() {
+        LogOutput.ofServingProcess();
         try {
             String document = Files.readString(settingsPath);
             FleetSettings settings = SettingsReader.readFleet(document)
@@ -55,6 +61,8 @@
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             close.run();
+            // What is logged last is written by another thread.
+            LogOutput.close();
             stopped.countDown();
         }));
         // The virtual machine would take a hang-up for the signal to stop; settings are read again instead.
--- a/src/main/java/org/bulrushwheel/cli/ServeCommand.java
+++ b/src/main/java/org/bulrushwheel/cli/ServeCommand.java
@@ -1,12 +1,12 @@
 package org.bulrushwheel.cli;
 
 import java.nio.file.Path;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 
 import org.bulrushwheel.daemon.Daemon;
+import org.bulrushwheel.logging.LogOutput;
 import org.bulrushwheel.model.settings.Settings;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -17,8 +17,6 @@
         mixinStandardHelpOptions = true,
         description = "Run one entry instance, with a control replica where its settings name a data folder.")
 final class ServeCommand implements Callable<Integer> {
-    private static final String LOG_FORMAT = "BULRUSHWHEEL_LOG_FORMAT";
-
     @Option(names = "--settings", required = true, description = "TOML file with the settings of this instance.")
     private Path settingsPath;
 
@@ -28,13 +26,13 @@
     @Override
     public Integer call() throws InterruptedException {
         Settings settings = Documents.settings(settingsPath);
-        // Read by the log's configuration, which is loaded with the first logger.
-        Optional.ofNullable(settings.logFormat())
-                .ifPresent(format -> System.setProperty(LOG_FORMAT, format.toUpperCase(Locale.ROOT)));
+        LogOutput.ofServingProcess();
+        Optional.ofNullable(settings.logFormat()).ifPresent(LogOutput::useFormat);
         Daemon daemon = new Daemon(settings, ioThreads);
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             daemon.leaveAndClose();
+            LogOutput.close();
             stopped.countDown();
         }));
         daemon.start();
--- a/src/main/java/org/bulrushwheel/local/LocalFleet.java
+++ b/src/main/java/org/bulrushwheel/local/LocalFleet.java
@@ -76,6 +76,11 @@
         return String.valueOf(entrySettings.get(index).readinessAddress());
     }
 
+    /** Returns the settings of an entry instance. */
+    public FleetSettings entrySettings(int index) {
+        return entrySettings.get(index);
+    }
+
     /** Stops a control instance. */
     public void stopControl(int index) {
         controls.get(index).close();
