Write a structured line for each decision, and explain a request from the logs

Cause: only answers of 500 and above had a line of free text; nobody could tell where an answered request went, how old the view was, or what an instance thought of an endpoint.

Change: `Decision`, typed by two enums, recorded by RequestTrail (requests), FleetSubscription (views, sources), ReplicaNews (leadership, voters, disk), EndpointRegistry, FleetAdministration, Kernel and SettingsWatch; DecisionLog samples by request id; `explain REQUEST-ID FILE...`; metrics at `metricsAddress`; docs/OPERATIONS.md takes in the operators' page and works three kinds of failed request.

--- a/src/main/java/org/bulrushwheel/cli/Main.java
+++ b/src/main/java/org/bulrushwheel/cli/Main.java
@@ -33,6 +33,7 @@
             OperatorCommand.class,
             UpstreamCommand.class,
             MeasureCommand.class,
+            ExplainCommand.class,
             AutoComplete.GenerateCompletion.class);
 
     private Main() {}
--- a/src/main/java/org/bulrushwheel/control/ControlService.java
+++ b/src/main/java/org/bulrushwheel/control/ControlService.java
@@ -29,6 +29,7 @@
 import org.bulrushwheel.logic.raft.ReplicaReplacement;
 import org.bulrushwheel.logic.time.TimeSource;
 import org.bulrushwheel.model.config.VersionedConfiguration;
+import org.bulrushwheel.model.decision.DecisionSink;
 import org.bulrushwheel.model.proto.Command;
 import org.bulrushwheel.model.proto.CommandResult;
 import org.bulrushwheel.model.proto.ControlSnapshot;
@@ -81,6 +82,7 @@
     private final ControlState state = new ControlState();
     private final Thread thread = new Thread(this::run, "control");
 
+    private ReplicaNews news = new ReplicaNews(DecisionSink.NONE);
     private volatile ConfirmedFetchListener fetchListener = (asker, haveVersion, newestVersion) -> {};
     private @Nullable RaftNode node;
     private @Nullable ReplicaStorage storage;
@@ -153,6 +155,11 @@
         fleetListeners.add(listener);
     }
 
+    /** Sets where changes of this replica are told; to be called before the start. */
+    public void tellDecisions(DecisionSink decisions) {
+        news = new ReplicaNews(decisions);
+    }
+
     /** Runs work with the state on the control thread. */
     public void execute(Consumer<ControlState> work) {
         inbox.add(() -> work.accept(state));
@@ -183,7 +190,7 @@
             ReplicaId fresh = new ReplicaId(
                     settings.instance(), UUID.randomUUID().toString().substring(0, 8));
             ReplicaStorage.format(folder, fresh.toString(), SnapshotFile.getDefaultInstance());
-            LOGGER.info("data folder is empty, joining as replica={}", fresh);
+            news.joining(fresh.toString());
         }
         replica = ReplicaStorage.identity(folder).orElseThrow();
         open();
@@ -259,11 +266,13 @@
         try {
             if (storage == null) {
                 open();
+                news.diskBack();
             }
             runBatch();
         } catch (StorageException e) {
             metrics.counter("control.storage.failed").inc();
-            LOGGER.error("replica={} stops until its disk works again: {}", replica, e.getMessage(), e);
+            LOGGER.error("replica={} stops until its disk works again", replica, e);
+            news.diskFailed(String.valueOf(e.getMessage()));
             proposals.abandon();
             pendingReads.clear();
             closeStorage();
@@ -342,20 +351,14 @@
     private void apply(LogEntry entry) {
         appliedIndex = entry.getIndex();
         if (entry.hasVoters()) {
-            LOGGER.info(
-                    "voters={} learners={}",
-                    entry.getVoters().getVotersList(),
-                    entry.getVoters().getLearnersList());
+            news.voters(entry.getVoters());
             return;
         }
         long versionBefore = state.current().version();
         CommandResult result = state.apply(entry.getCommand());
         proposals.applied(entry, result);
         if (state.current().version() != versionBefore) {
-            LOGGER.info(
-                    "accepted version={} actor={}",
-                    state.current().version(),
-                    entry.getCommand().getActor());
+            news.accepted(state.current().version(), entry.getCommand().getActor());
             announce();
         }
     }
@@ -452,12 +455,9 @@
                 proposals.abandon();
                 pendingReads.clear();
             }
-            boolean settled = raft.role() == RaftRole.LEADER || lastRole == RaftRole.LEADER;
             lastRole = raft.role();
-            if (settled) {
-                LOGGER.info("replica={} role={} term={}", replica, lastRole, raft.term());
-            }
         }
+        news.status(raft.role(), raft.term(), leaderInstance(), raft.hearsLeader());
         status = new ReplicaStatus(
                 replica,
                 raft.role(),
--- a/src/main/java/org/bulrushwheel/daemon/Daemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/Daemon.java
@@ -7,6 +7,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.bulrushwheel.control.ControlClient;
 import org.bulrushwheel.control.ControlService;
+import org.bulrushwheel.kernel.DecisionLog;
 import org.bulrushwheel.kernel.Kernel;
 import org.bulrushwheel.logic.raft.RaftRole;
 import org.bulrushwheel.logic.time.SystemTimeSource;
@@ -44,14 +45,17 @@
     private static final long NEWS_MILLIS = 2_000;
 
     private final Settings settings;
-    private final Kernel kernel = new Kernel();
     private final MetricRegistry metrics = new MetricRegistry();
     private final TimeSource time = new SystemTimeSource();
+    private final DecisionLog decisions;
+    private final Kernel kernel;
     private final long incarnation = time.epochMillis();
 
     /** A process with these settings; nothing runs before the start. */
     public Daemon(Settings settings, int ioThreads) {
         this.settings = settings;
+        this.decisions = new DecisionLog(settings.instance(), time);
+        this.kernel = new Kernel(decisions);
         PeerNetwork peers = kernel.register(new PeerNetwork(settings, metrics));
         ConfigurationService configuration = kernel.register(new ConfigurationService(settings, peers, time, metrics));
         Optional<ControlService> control = registerControl(peers, configuration);
@@ -151,6 +155,7 @@
         }
         ControlService control =
                 kernel.register(new ControlService(settings, peers, time, RandomGenerator.getDefault(), metrics));
+        control.tellDecisions(decisions);
         control.onAccepted(configuration::accepted);
         configuration.setConfirmer(control::confirmFetch);
         control.onConfirmedFetch(configuration::answerConfirmed);
--- a/src/main/java/org/bulrushwheel/daemon/EdgeDaemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/EdgeDaemon.java
@@ -8,6 +8,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import org.bulrushwheel.kernel.DecisionLog;
 import org.bulrushwheel.kernel.Kernel;
 import org.bulrushwheel.logic.placement.PlacementSettings;
 import org.bulrushwheel.logic.time.SystemTimeSource;
@@ -31,21 +32,24 @@
     private static final long END_MILLIS = 400;
 
     private final FleetSettings settings;
-    private final Kernel kernel = new Kernel();
+    private final Kernel kernel;
 
     /** A process with these settings; nothing runs before the start. */
     public EdgeDaemon(FleetSettings settings, SettingsWatch watch, FleetInterfaces interfaces) {
         this.settings = settings;
         MetricRegistry metrics = new MetricRegistry();
         TimeSource time = new SystemTimeSource();
+        DecisionLog decisions = new DecisionLog(settings.instance(), time);
+        kernel = new Kernel(decisions);
+        watch.tellDecisions(decisions);
         EventLoopGroup loops = new MultiThreadIoEventLoopGroup(
                 1, new DefaultThreadFactory("network", true), NioIoHandler.newFactory());
         EventLoop loop = (EventLoop) loops.next();
         PeerNetwork peers = kernel.register(
                 new PeerNetwork(settings.peerAddress(), Address.parse(settings.peerAddress()), loops, metrics));
         String callerAddress = java.util.Objects.requireNonNull(settings.callerAddress(), "callerAddress is missing");
-        EdgeServer edge =
-                kernel.register(new EdgeServer(edgeSettings(callerAddress), interfaces.headers(), loop, time, metrics));
+        EdgeServer edge = kernel.register(
+                new EdgeServer(edgeSettings(callerAddress), interfaces.headers(), loop, time, metrics, decisions));
         FleetSubscription subscription = kernel.register(new FleetSubscription(
                 EntryRecord.newBuilder()
                         .setPeerAddress(settings.peerAddress())
@@ -60,7 +64,9 @@
                 peers,
                 loop,
                 time,
-                metrics));
+                metrics,
+                decisions));
+        edge.onViewAge(subscription::viewAgeMillis);
         subscription.onView(edge::use);
         subscription.onPoison(edge::mergePoison);
         edge.onPoison(subscription::tell);
@@ -71,6 +77,12 @@
                 loops,
                 interfaces.readiness(subscription::isReady),
                 metrics));
+        metrics.gauge("view.age.millis", () -> subscription::viewAgeMillis);
+        metrics.gauge(
+                "view.configuration.version", () -> () -> subscription.view().trafficVersion());
+        metrics.gauge("view.endpoints", () -> () -> subscription.view().endpointCount());
+        metrics.gauge("log.decisions.sampled-out", () -> decisions::sampledOut);
+        MetricsListener.register(kernel, settings, loops, metrics);
     }
 
     /** Starts every service. */
--- a/src/main/java/org/bulrushwheel/daemon/FleetControlDaemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/FleetControlDaemon.java
@@ -15,8 +15,10 @@
 import org.bulrushwheel.control.ControlClient;
 import org.bulrushwheel.control.ControlService;
 import org.bulrushwheel.control.ReplicaSettings;
+import org.bulrushwheel.kernel.DecisionLog;
 import org.bulrushwheel.kernel.Kernel;
 import org.bulrushwheel.logic.fleet.EntryChoice;
+import org.bulrushwheel.logic.raft.RaftRole;
 import org.bulrushwheel.logic.raft.ReplicaId;
 import org.bulrushwheel.logic.time.SystemTimeSource;
 import org.bulrushwheel.logic.time.TimeSource;
@@ -50,13 +52,16 @@
     private static final long DRAIN_MILLIS = 300;
 
     private final FleetSettings settings;
-    private final Kernel kernel = new Kernel();
+    private final Kernel kernel;
 
     /** A process with these settings; nothing runs before the start. */
     public FleetControlDaemon(FleetSettings settings, SettingsWatch watch, FleetInterfaces interfaces) {
         this.settings = settings;
         MetricRegistry metrics = new MetricRegistry();
         TimeSource time = new SystemTimeSource();
+        DecisionLog decisions = new DecisionLog(settings.instance(), time);
+        kernel = new Kernel(decisions);
+        watch.tellDecisions(decisions);
         EventLoopGroup loops = new MultiThreadIoEventLoopGroup(
                 1, new DefaultThreadFactory("network", true), NioIoHandler.newFactory());
         PeerNetwork peers = kernel.register(
@@ -73,13 +78,20 @@
                 time,
                 RandomGenerator.getDefault(),
                 metrics));
+        control.tellDecisions(decisions);
         ControlClient client = kernel.register(new ControlClient(() -> replicas(control), peers, time, metrics));
         EndpointRegistry registry = kernel.register(new EndpointRegistry(
-                control, client, peers, settings.bounds().announcementMillis() * ANNOUNCEMENTS_MISSED, time, metrics));
+                control,
+                client,
+                peers,
+                settings.bounds().announcementMillis() * ANNOUNCEMENTS_MISSED,
+                time,
+                metrics,
+                decisions));
         EntryDirectory directory = new EntryDirectory(time);
         kernel.register(new FleetPublisher(place(), control, directory, peers, time, metrics));
         FleetServices services = new ControlServices(
-                new FleetAdministration(client, interfaces.trafficCodec()),
+                new FleetAdministration(client, interfaces.trafficCodec(), decisions),
                 registry,
                 directory,
                 settings.bounds().lookupValidSeconds());
@@ -95,6 +107,12 @@
                 loops,
                 interfaces.lookup(services),
                 metrics));
+        metrics.gauge("entry-instances.serving", () -> () -> directory.serving().size());
+        metrics.gauge("control.leads", () -> () -> control.status().role() == RaftRole.LEADER ? 1 : 0);
+        metrics.gauge("control.hears-leader", () -> () -> control.status().hearsLeader() ? 1 : 0);
+        metrics.gauge("control.term", () -> () -> control.status().term());
+        metrics.gauge("control.commit-index", () -> () -> control.status().commitIndex());
+        MetricsListener.register(kernel, settings, loops, metrics);
     }
 
     /** Starts every service; the seeds of a first start are its first voters. */
--- a/src/main/java/org/bulrushwheel/daemon/SettingsWatch.java
+++ b/src/main/java/org/bulrushwheel/daemon/SettingsWatch.java
@@ -10,6 +10,10 @@
 import org.bulrushwheel.kernel.KernelService;
 import org.bulrushwheel.kernel.ServiceTimer;
 import org.bulrushwheel.logic.settings.SettingsReader;
+import org.bulrushwheel.model.decision.Decision;
+import org.bulrushwheel.model.decision.DecisionField;
+import org.bulrushwheel.model.decision.DecisionKind;
+import org.bulrushwheel.model.decision.DecisionSink;
 import org.bulrushwheel.model.settings.FleetSettings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -29,6 +33,7 @@
     private final Path file;
     private final ServiceTimer timer;
     private volatile FleetSettings current;
+    private volatile DecisionSink decisions = DecisionSink.NONE;
     private String document;
 
     /** A watch of a file that has been read. */
@@ -39,6 +44,11 @@
         this.timer = new ServiceTimer(NAME, new MetricRegistry());
     }
 
+    /** Sets where changes of the settings are told. */
+    public void tellDecisions(DecisionSink sink) {
+        decisions = sink;
+    }
+
     @Override
     public String name() {
         return NAME;
@@ -70,9 +80,11 @@
             Either<List<String>, FleetSettings> read = SettingsReader.readFleet(latest);
             if (read.isRight()) {
                 current = read.get();
-                LOGGER.info("settings read again, seeds={}", current.seeds());
+                decisions.record(Decision.of(DecisionKind.SETTINGS_READ).with(DecisionField.SEEDS, current.seeds()));
             } else {
-                LOGGER.warn("settings stay as they were: {}", read.getLeft());
+                decisions.record(Decision.of(DecisionKind.SETTINGS_READ)
+                        .with(DecisionField.REASON, "they stay as they were: " + read.getLeft())
+                        .asFailure());
             }
         } catch (IOException e) {
             LOGGER.warn("cannot read {}; settings stay as they were", file, e);
--- a/src/main/java/org/bulrushwheel/kernel/Kernel.java
+++ b/src/main/java/org/bulrushwheel/kernel/Kernel.java
@@ -6,6 +6,10 @@
 import java.util.List;
 import java.util.Map;
 
+import org.bulrushwheel.model.decision.Decision;
+import org.bulrushwheel.model.decision.DecisionField;
+import org.bulrushwheel.model.decision.DecisionKind;
+import org.bulrushwheel.model.decision.DecisionSink;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -20,6 +24,12 @@
 
     private final Map<String, KernelService> servicesByName = Collections.synchronizedMap(new LinkedHashMap<>());
     private final List<KernelService> started = new ArrayList<>();
+    private final DecisionSink decisions;
+
+    /** A kernel without services; start and end go to the decisions. */
+    public Kernel(DecisionSink decisions) {
+        this.decisions = decisions;
+    }
 
     /** Adds a service; its name must be new. */
     public <T extends KernelService> T register(T service) {
@@ -49,16 +59,17 @@
                 throw e;
             }
         }
-        LOGGER.info("started services={}", servicesByName.keySet());
+        decisions.record(Decision.of(DecisionKind.STARTED).with(DecisionField.SERVICES, servicesByName.keySet()));
     }
 
     /** Drains and then stops every service in reverse order. */
     public synchronized void stop(long drainDeadlineNanos) {
+        decisions.record(Decision.of(DecisionKind.STOPPING));
         for (KernelService service : reversed()) {
             service.drain(drainDeadlineNanos);
         }
         stopStarted();
-        LOGGER.info("stopped");
+        decisions.record(Decision.of(DecisionKind.STOPPED));
     }
 
     private void stopStarted() {
--- a/src/main/java/org/bulrushwheel/local/LocalFleet.java
+++ b/src/main/java/org/bulrushwheel/local/LocalFleet.java
@@ -27,7 +27,7 @@
 
     private final Path folder;
     private final FleetInterfaces interfaces;
-    private final List<Integer> ports = LoopbackPorts.free(5);
+    private final List<Integer> ports = LoopbackPorts.free(6);
     private final List<FleetSettings> controlSettings = new ArrayList<>();
     private final List<FleetSettings> entrySettings = new ArrayList<>();
     private final List<FleetControlDaemon> controls = new ArrayList<>();
@@ -76,6 +76,16 @@
         return String.valueOf(entrySettings.get(index).readinessAddress());
     }
 
+    /** Returns the address for metrics of a control instance. */
+    public String controlMetricsAddress(int index) {
+        return String.valueOf(controlSettings.get(index).metricsAddress());
+    }
+
+    /** Returns the address for metrics of an entry instance. */
+    public String entryMetricsAddress(int index) {
+        return String.valueOf(entrySettings.get(index).metricsAddress());
+    }
+
     /** Returns the settings of an entry instance. */
     public FleetSettings entrySettings(int index) {
         return entrySettings.get(index);
@@ -146,6 +156,7 @@
                 control ? null : ip + ":" + ports.get(4),
                 control ? ip + ":" + ports.get(1) : null,
                 control ? ip + ":" + ports.get(2) : null,
+                ip + ":" + ports.get(5),
                 seeds,
                 control ? folder.resolve(name).toString() : null,
                 true,
@@ -163,6 +174,7 @@
                 first.readinessAddress(),
                 first.controlAddress(),
                 first.lookupAddress(),
+                first.metricsAddress(),
                 first.seeds(),
                 first.dataFolder(),
                 false,
--- a/src/main/java/org/bulrushwheel/logic/fleet/FleetView.java
+++ b/src/main/java/org/bulrushwheel/logic/fleet/FleetView.java
@@ -139,6 +139,11 @@
         return Optional.ofNullable(policies.get(service));
     }
 
+    /** Returns how many endpoints are known and have not ended. */
+    public int endpointCount() {
+        return endpoints.size();
+    }
+
     /** Returns how many entry instances serve, this one among them. */
     public int entryInstances() {
         return entryInstances;
--- a/src/main/java/org/bulrushwheel/logic/placement/EndpointChooser.java
+++ b/src/main/java/org/bulrushwheel/logic/placement/EndpointChooser.java
@@ -77,9 +77,14 @@
         loadOf(endpoint).reported(runningAndWaiting, nowMillis);
     }
 
-    /** Learns that an endpoint could not be reached or broke off. */
-    public void failed(Endpoint endpoint, long nowMillis) {
-        loadOf(endpoint).failed(nowMillis);
+    /** Learns that an endpoint could not be reached or broke off; returns for how many milliseconds it is avoided. */
+    public long failed(Endpoint endpoint, long nowMillis) {
+        return loadOf(endpoint).failed(nowMillis);
+    }
+
+    /** Returns how many requests an endpoint is thought to have, those of other instances among them. */
+    public int loadEstimate(Endpoint endpoint, long nowMillis) {
+        return loadOf(endpoint).estimate(nowMillis);
     }
 
     private Optional<Endpoint> cheapest(
--- a/src/main/java/org/bulrushwheel/logic/placement/EndpointLoad.java
+++ b/src/main/java/org/bulrushwheel/logic/placement/EndpointLoad.java
@@ -38,10 +38,11 @@
         suspendedDeadlineMillis = 0;
     }
 
-    void failed(long nowMillis) {
+    long failed(long nowMillis) {
         failuresInARow = Math.min(failuresInARow + 1, 8);
-        suspendedDeadlineMillis =
-                nowMillis + Math.min(LONGEST_SUSPENSION_MILLIS, FIRST_SUSPENSION_MILLIS << (failuresInARow - 1));
+        long suspendedMillis = Math.min(LONGEST_SUSPENSION_MILLIS, FIRST_SUSPENSION_MILLIS << (failuresInARow - 1));
+        suspendedDeadlineMillis = nowMillis + suspendedMillis;
+        return suspendedMillis;
     }
 
     boolean isSuspended(long nowMillis) {
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/model/decision/Decision.java
@@ -0,0 +1,47 @@
+package org.bulrushwheel.model.decision;
+
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One decision with the inputs that decided it and its outcome.
+ *
+ * <p>Immutable and thread safe, as far as the values are.
+ *
+ * @param kind what was decided
+ * @param failure whether somebody may complain of it; failures are kept when others are dropped
+ * @param fields inputs and outcome, in the order of the fields
+ */
+public record Decision(DecisionKind kind, boolean failure, Map<DecisionField, Object> fields) {
+    /** Copies the fields. */
+    public Decision {
+        Map<DecisionField, Object> copy = new EnumMap<>(DecisionField.class);
+        copy.putAll(fields);
+        fields = Collections.unmodifiableMap(copy);
+    }
+
+    /** Returns a decision of a kind without fields, which is no failure. */
+    public static Decision of(DecisionKind kind) {
+        return new Decision(kind, false, Map.of());
+    }
+
+    /** Returns this decision with a field more. */
+    public Decision with(DecisionField field, Object value) {
+        Map<DecisionField, Object> more = new EnumMap<>(DecisionField.class);
+        more.putAll(fields);
+        more.put(field, value);
+        return new Decision(kind, failure, more);
+    }
+
+    /** Returns this decision as a failure. */
+    public Decision asFailure() {
+        return new Decision(kind, true, fields);
+    }
+
+    /** Returns the id of the request that the decision is about, if it is about one. */
+    public Optional<String> request() {
+        return Optional.ofNullable(fields.get(DecisionField.REQUEST)).map(Object::toString);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/model/decision/DecisionField.java
@@ -0,0 +1,60 @@
+package org.bulrushwheel.model.decision;
+
+/**
+ * Fields of decisions.
+ *
+ * <p>Immutable and thread safe.
+ */
+public enum DecisionField {
+    INSTANCE("instance", "the instance that decided"),
+    REQUEST("request", "id of the request"),
+    ROUTE("route", "route of the request"),
+    OBJECT("object", "object that the request concerns"),
+    SERVICE("service", "service that the route's split has chosen, or the endpoint's"),
+    REASON("reason", "why it was decided so"),
+    STATUS("status", "status of the answer"),
+    ENDPOINT("endpoint", "endpoint that the decision is about"),
+    ZONE("zone", "availability zone of the endpoint, or of the order"),
+    ATTEMPT("attempt", "number of the attempt, 1 for the first"),
+    ATTEMPTS("attempts", "endpoints that the request was sent to, each with what came of it and when"),
+    MAY_HAVE_RUN("mayHaveRun", "whether an endpoint may have run the request"),
+    REMAINING_MILLIS("remainingMillis", "time left until the request's deadline"),
+    TOOK_MILLIS("tookMillis", "time since the request was read"),
+    IN_FLIGHT("inFlight", "requests of this instance at the endpoint, this one among them"),
+    LOAD("load", "requests that the endpoint is thought to have, those of others among them"),
+    SUSPENDED_MILLIS("suspendedMillis", "how long the endpoint is avoided"),
+    CONFIGURATION_VERSION("configurationVersion", "version of the configuration that was obeyed"),
+    VIEW_REVISION("viewRevision", "revision of the view of the fleet"),
+    VIEW_AGE_MILLIS("viewAgeMillis", "time since a control instance that hears a leader confirmed the view"),
+    ENDPOINTS("endpoints", "number of endpoints in the view, or the endpoints concerned"),
+    ENTRY_INSTANCES("entryInstances", "entry instances that share the bounds"),
+    DEPENDENCY("dependency", "what was lost or regained"),
+    SILENT_MILLIS("silentMillis", "how long nothing was heard"),
+    ROLE("role", "role of the control replica"),
+    TERM("term", "term of the replicated log"),
+    VOTERS("voters", "voters of the replicated log"),
+    ORDER("order", "kind of the order"),
+    OUTCOME("outcome", "what came of the order"),
+    STATE("state", "what the endpoint says of itself"),
+    SEQUENCE("sequence", "number of the endpoint's announcement"),
+    SEEDS("seeds", "control instances named by the settings"),
+    SERVICES("services", "services of the process");
+
+    private final String key;
+    private final String meaning;
+
+    DecisionField(String key, String meaning) {
+        this.key = key;
+        this.meaning = meaning;
+    }
+
+    /** Returns the name of the field in a log line. */
+    public String key() {
+        return key;
+    }
+
+    /** Returns what the field means, for the operators' page. */
+    public String meaning() {
+        return meaning;
+    }
+}
--- a/src/main/java/org/bulrushwheel/model/settings/FleetSettings.java
+++ b/src/main/java/org/bulrushwheel/model/settings/FleetSettings.java
@@ -21,6 +21,7 @@
  * @param readinessAddress listener for readiness checks; only on entry instances
  * @param controlAddress listener for operators and endpoints; only on control instances
  * @param lookupAddress listener for look-ups; only on control instances
+ * @param metricsAddress listener for scrapers of metrics; none without it
  * @param seeds control instances, as IP:PORT of any of their listeners
  * @param dataFolder folder of a control replica; only on control instances
  * @param firstStart whether the whole deployment starts for the first time
@@ -36,6 +37,7 @@
         @Nullable String readinessAddress,
         @Nullable String controlAddress,
         @Nullable String lookupAddress,
+        @Nullable String metricsAddress,
         List<String> seeds,
         @Nullable String dataFolder,
         boolean firstStart,
--- a/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.Bootstrap;
@@ -18,6 +19,10 @@
 import org.bulrushwheel.logic.retry.PoisonRegistry;
 import org.bulrushwheel.logic.retry.WindowedRetryBudget;
 import org.bulrushwheel.logic.time.TimeSource;
+import org.bulrushwheel.model.decision.Decision;
+import org.bulrushwheel.model.decision.DecisionField;
+import org.bulrushwheel.model.decision.DecisionKind;
+import org.bulrushwheel.model.decision.DecisionSink;
 import org.bulrushwheel.model.instance.Address;
 import org.bulrushwheel.model.proto.PoisonRecord;
 import org.bulrushwheel.model.traffic.Endpoint;
@@ -46,10 +51,19 @@
     private final Map<String, EndpointPool> poolsByEndpoint = new HashMap<>();
     private final Map<String, WindowedRetryBudget> budgetsByService = new HashMap<>();
     private final PoisonRegistry poison = new PoisonRegistry();
+    private final DecisionSink decisions;
     private Consumer<PoisonRecord> poisonListener = record -> {};
+    private LongSupplier viewAge = () -> 0;
     private FleetView view = FleetView.empty();
 
-    EdgeContext(EdgeSettings settings, EdgeHeaders names, EventLoop loop, TimeSource time, MetricRegistry metrics) {
+    EdgeContext(
+            EdgeSettings settings,
+            EdgeHeaders names,
+            EventLoop loop,
+            TimeSource time,
+            MetricRegistry metrics,
+            DecisionSink decisions) {
+        this.decisions = decisions;
         this.settings = settings;
         this.names = names;
         this.answers = new AnswerReader(names);
@@ -100,6 +114,30 @@
         metrics.timer(name).update(millis, TimeUnit.MILLISECONDS);
     }
 
+    void record(Decision decision) {
+        decisions.record(decision);
+    }
+
+    /** Sets how old the view is, in milliseconds. */
+    void onViewAge(LongSupplier age) {
+        viewAge = age;
+    }
+
+    long viewAgeMillis() {
+        return viewAge.getAsLong();
+    }
+
+    /** Avoids an endpoint for a while. */
+    void judge(Endpoint endpoint, String reason) {
+        long suspendedMillis = chooser.failed(endpoint, nowMillis());
+        record(Decision.of(DecisionKind.ENDPOINT_JUDGED)
+                .with(DecisionField.ENDPOINT, endpoint.id())
+                .with(DecisionField.SERVICE, endpoint.service())
+                .with(DecisionField.REASON, reason)
+                .with(DecisionField.SUSPENDED_MILLIS, suspendedMillis)
+                .with(DecisionField.LOAD, chooser.loadEstimate(endpoint, nowMillis())));
+    }
+
     EndpointPool poolOf(Endpoint endpoint) {
         return poolsByEndpoint.computeIfAbsent(
                 endpoint.id(), id -> new EndpointPool(Address.parse(endpoint.address()), bootstrap, names, time));
--- a/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.ServerBootstrap;
@@ -18,6 +19,7 @@
 import org.bulrushwheel.kernel.KernelService;
 import org.bulrushwheel.logic.fleet.FleetView;
 import org.bulrushwheel.logic.time.TimeSource;
+import org.bulrushwheel.model.decision.DecisionSink;
 import org.bulrushwheel.model.proto.PoisonRecord;
 import org.bulrushwheel.model.traffic.CallerLimits;
 import org.bulrushwheel.model.traffic.TrafficConfiguration;
@@ -49,10 +51,15 @@
 
     /** A listener that carries requests by the view that it is given. */
     public EdgeServer(
-            EdgeSettings settings, EdgeHeaders names, EventLoop loop, TimeSource time, MetricRegistry metrics) {
+            EdgeSettings settings,
+            EdgeHeaders names,
+            EventLoop loop,
+            TimeSource time,
+            MetricRegistry metrics,
+            DecisionSink decisions) {
         this.settings = settings;
         this.loop = loop;
-        this.context = new EdgeContext(settings, names, loop, time, metrics);
+        this.context = new EdgeContext(settings, names, loop, time, metrics, decisions);
     }
 
     @Override
@@ -65,6 +72,11 @@
         context.use(view);
     }
 
+    /** Sets how old the view is, in milliseconds; to be called before the start. */
+    public void onViewAge(LongSupplier age) {
+        context.onViewAge(age);
+    }
+
     /** Sets who tells the other instances of requests that were in flight when endpoints broke off. */
     public void onPoison(Consumer<PoisonRecord> listener) {
         context.onPoison(listener);
--- a/src/main/java/org/bulrushwheel/server/edge/Exchange.java
+++ b/src/main/java/org/bulrushwheel/server/edge/Exchange.java
@@ -15,8 +15,6 @@
 import org.bulrushwheel.model.traffic.RouteKind;
 import org.bulrushwheel.model.traffic.TrafficRoute;
 import org.jspecify.annotations.Nullable;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * One request of a caller from its route to its one answer.
@@ -26,17 +24,22 @@
  * again after an endpoint may have run it. Not thread safe: one event loop drives it.
  */
 final class Exchange {
-    private static final Logger LOGGER = LoggerFactory.getLogger(Exchange.class);
+    /** Reason of the outcome of a request that got an endpoint's answer. */
+    static final String ANSWERED = "answered";
+
     // An endpoint's own answer at the deadline is still on its way then.
     private static final long DELIVERY_MILLIS = 100;
     private static final long LEAST_USEFUL_MILLIS = 5;
     private static final int MAX_CONNECT_FAILURES = 5;
     private static final long RETRY_AFTER_MILLIS = 300;
     private static final long RETRY_AFTER_NO_VIEW_MILLIS = 500;
+    // Nothing was answered.
+    private static final int CALLER_GONE_STATUS = 0;
 
     private final EdgeContext context;
     private final CallerRequest request;
     private final Consumer<EdgeAnswer> taker;
+    private final RequestTrail trail;
     private final Set<String> tried = new HashSet<>();
     private @Nullable TrafficRoute route;
     private String service = "";
@@ -55,6 +58,7 @@
         this.context = context;
         this.request = request;
         this.taker = taker;
+        this.trail = new RequestTrail(context, request, requestId());
     }
 
     /** Whether the request must not be started before those ahead of it on its connection are answered. */
@@ -87,6 +91,7 @@
                 .map(caller -> Math.min(caller, found.get().timeoutMillis()))
                 .orElse(found.get().timeoutMillis());
         deadlineMillis = request.receivedMillis() + waitMillis;
+        trail.admitted(found.get(), service, deadlineMillis);
         context.budgetOf(service).onRequest(context.nowMillis());
         timeout = context.after(deadlineMillis - context.nowMillis(), this::onDeadline);
         attempt();
@@ -101,8 +106,10 @@
         context.count("edge.callers.left");
         boolean once = route != null && route.kind() == RouteKind.ONCE;
         if (current == null || !once) {
+            boolean atWork = current != null;
             abortCurrent();
             close();
+            trail.answered(CALLER_GONE_STATUS, "caller-left", uncertain || atWork, true);
         }
     }
 
@@ -149,8 +156,8 @@
         }
         if (acquired.isLeft()) {
             endAttempt(endpoint);
-            context.count("edge.retries.connect-failed");
-            context.chooser().failed(endpoint, context.nowMillis());
+            trail.attemptFailed(endpoint, "connect-failed");
+            context.judge(endpoint, "connect-failed");
             if (++connectFailures >= MAX_CONNECT_FAILURES) {
                 giveUp("connect-failed");
             } else {
@@ -174,6 +181,7 @@
         headers.set(context.names().expectedInstance(), endpoint.id());
         current = connection;
         sent++;
+        trail.dispatched(endpoint, sent, deadlineMillis - nowMillis);
         connection.send(request, headers, new AttemptListener() {
             @Override
             public void onAnswer(EdgeAnswer answer) {
@@ -198,9 +206,9 @@
         if (context.answers().isNotRun(answer)) {
             answer.body().release();
             if (context.answers().isOtherEndpoint(answer)) {
-                context.chooser().failed(endpoint, nowMillis);
+                context.judge(endpoint, "other-endpoint");
             }
-            context.count("edge.retries.not-executed");
+            trail.attemptFailed(endpoint, "not-executed");
             attempt();
             return;
         }
@@ -214,7 +222,7 @@
         if (serverError && repeatable()) {
             keep(answer);
             uncertain = true;
-            context.count("edge.retries.server-error");
+            trail.attemptFailed(endpoint, "server-error");
             attempt();
             return;
         }
@@ -222,7 +230,7 @@
             context.chooser()
                     .answered(endpoint, java.util.Objects.requireNonNull(route).name(), nowMillis - sentMillis);
         }
-        finish(answer, "answered");
+        finish(answer, ANSWERED);
     }
 
     private void attemptBroken(Endpoint endpoint, String reason) {
@@ -233,9 +241,8 @@
             return;
         }
         uncertain = true;
-        LOGGER.debug("request={} endpoint={} broken: {}", requestId(), endpoint.id(), reason);
-        context.count("edge.retries.broken");
-        context.chooser().failed(endpoint, context.nowMillis());
+        trail.attemptFailed(endpoint, "broken");
+        context.judge(endpoint, reason);
         context.brokeOff(request, endpoint);
         if (repeatable() && context.isPoison(request)) {
             giveUp("poison");
@@ -283,21 +290,7 @@
         }
         boolean gone = left;
         close();
-        context.count("edge.outcomes." + reason);
-        context.took("edge.latency", context.nowMillis() - request.receivedMillis());
-        if (answer.status().code() >= 500) {
-            LOGGER.info(
-                    "request={} route={} status={} reason={} sent={} mayHaveRun={} tried={} revision={} tookMillis={}",
-                    requestId(),
-                    route == null ? "" : route.name(),
-                    answer.status().code(),
-                    reason,
-                    sent,
-                    uncertain,
-                    tried,
-                    context.view().revision(),
-                    context.nowMillis() - request.receivedMillis());
-        }
+        trail.answered(answer.status().code(), reason, uncertain, gone);
         if (gone) {
             answer.body().release();
         } else {
--- a/src/main/java/org/bulrushwheel/server/fleet/EndpointRegistry.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/EndpointRegistry.java
@@ -18,6 +18,10 @@
 import org.bulrushwheel.logic.fleet.EndpointRecords;
 import org.bulrushwheel.logic.raft.RaftRole;
 import org.bulrushwheel.logic.time.TimeSource;
+import org.bulrushwheel.model.decision.Decision;
+import org.bulrushwheel.model.decision.DecisionField;
+import org.bulrushwheel.model.decision.DecisionKind;
+import org.bulrushwheel.model.decision.DecisionSink;
 import org.bulrushwheel.model.proto.Command;
 import org.bulrushwheel.model.proto.CommandResult;
 import org.bulrushwheel.model.proto.EndpointLeave;
@@ -27,8 +31,6 @@
 import org.bulrushwheel.model.proto.Frame;
 import org.bulrushwheel.model.proto.PutEndpoints;
 import org.bulrushwheel.wire.PeerNetwork;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Endpoints' announcements at a control instance.
@@ -41,7 +43,6 @@
     /** Name in the kernel. */
     public static final String NAME = "endpoint-registry";
 
-    private static final Logger LOGGER = LoggerFactory.getLogger(EndpointRegistry.class);
     // Endpoints take a second without an answer for a failure and call the next instance.
     private static final long PROPOSAL_TIMEOUT_MILLIS = 3_000;
     private static final long REPORT_PAUSE_MILLIS = 500;
@@ -52,6 +53,7 @@
     private final TimeSource time;
     private final ServiceTimer timer;
     private final EndpointLiveness liveness;
+    private final DecisionSink decisions;
     private final Set<String> heardSinceReport = new HashSet<>();
     private boolean led;
 
@@ -66,7 +68,9 @@
             PeerNetwork peers,
             long silentAfterMillis,
             TimeSource time,
-            MetricRegistry metrics) {
+            MetricRegistry metrics,
+            DecisionSink decisions) {
+        this.decisions = decisions;
         this.control = control;
         this.client = client;
         this.peers = peers;
@@ -102,7 +106,7 @@
             heardSinceReport.add(record.getId());
             Optional<EndpointRecord> held = state.fleet().endpoint(record.getId());
             if (EndpointRecords.isNewer(record, held)) {
-                propose(PutEndpoints.newBuilder().addEndpoints(record), answer);
+                propose(PutEndpoints.newBuilder().addEndpoints(record), answer, announced(record));
             } else {
                 answer.complete(control.status().hearsLeader());
             }
@@ -124,16 +128,34 @@
             if (known) {
                 answer.complete(control.status().hearsLeader());
             } else {
-                propose(PutEndpoints.newBuilder().addLeaves(leave), answer);
+                propose(
+                        PutEndpoints.newBuilder().addLeaves(leave),
+                        answer,
+                        Decision.of(DecisionKind.ENDPOINT_ANNOUNCED)
+                                .with(DecisionField.ENDPOINT, leave.getId())
+                                .with(DecisionField.STATE, State.LEFT));
             }
         });
         return answer;
     }
 
-    private void propose(PutEndpoints.Builder change, CompletableFuture<Boolean> answer) {
+    private static Decision announced(EndpointRecord record) {
+        return Decision.of(DecisionKind.ENDPOINT_ANNOUNCED)
+                .with(DecisionField.ENDPOINT, record.getId())
+                .with(DecisionField.SERVICE, record.getService())
+                .with(DecisionField.ZONE, record.getZone())
+                .with(DecisionField.STATE, record.getState())
+                .with(DecisionField.SEQUENCE, record.getSequence());
+    }
+
+    private void propose(PutEndpoints.Builder change, CompletableFuture<Boolean> answer, Decision decision) {
         Command command = Command.newBuilder().setPutEndpoints(change).build();
-        client.propose(command, PROPOSAL_TIMEOUT_MILLIS)
-                .thenAccept(result -> answer.complete(result.getKind() == CommandResult.Kind.DONE));
+        client.propose(command, PROPOSAL_TIMEOUT_MILLIS).thenAccept(result -> {
+            boolean done = result.getKind() == CommandResult.Kind.DONE;
+            Decision decided = decision.with(DecisionField.OUTCOME, done ? "acknowledged" : "unknown");
+            decisions.record(done ? decided : decided.asFailure());
+            answer.complete(done);
+        });
     }
 
     private void report(ControlState state) {
@@ -164,7 +186,7 @@
         if (silent.isEmpty()) {
             return;
         }
-        LOGGER.info("endpoints={} fell silent", silent);
+        decisions.record(Decision.of(DecisionKind.ENDPOINT_SILENT).with(DecisionField.ENDPOINTS, silent));
         PutEndpoints.Builder change = PutEndpoints.newBuilder();
         silent.forEach(id -> state.fleet()
                 .endpoint(id)
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetAdministration.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetAdministration.java
@@ -9,6 +9,10 @@
 import io.vavr.control.Either;
 import org.bulrushwheel.control.ControlClient;
 import org.bulrushwheel.logic.fleet.TrafficChecker;
+import org.bulrushwheel.model.decision.Decision;
+import org.bulrushwheel.model.decision.DecisionField;
+import org.bulrushwheel.model.decision.DecisionKind;
+import org.bulrushwheel.model.decision.DecisionSink;
 import org.bulrushwheel.model.proto.Command;
 import org.bulrushwheel.model.proto.CommandResult;
 import org.bulrushwheel.model.proto.ReadAnswer;
@@ -42,9 +46,11 @@
 
     private final ControlClient client;
     private final TrafficDocumentCodec codec;
+    private final DecisionSink decisions;
 
     /** Orders that go to whichever replica leads. */
-    public FleetAdministration(ControlClient client, TrafficDocumentCodec codec) {
+    public FleetAdministration(ControlClient client, TrafficDocumentCodec codec, DecisionSink decisions) {
+        this.decisions = decisions;
         this.client = client;
         this.codec = codec;
     }
@@ -52,19 +58,27 @@
     /** Checks a traffic configuration and has it accepted if its version is the highest. */
     public CompletionStage<Outcome> replaceTraffic(byte[] document) {
         Either<List<String>, TrafficConfiguration> read = codec.read(document).flatMap(FleetAdministration::check);
+        Decision decision = Decision.of(DecisionKind.ORDER_DECIDED).with(DecisionField.ORDER, "replace-traffic");
         if (read.isLeft()) {
+            record(decision.with(DecisionField.REASON, read.getLeft()), Outcome.INVALID);
             return CompletableFuture.completedFuture(Outcome.INVALID);
         }
-        return order(Command.newBuilder()
-                .setReplaceTraffic(ReplaceTraffic.newBuilder()
-                        .setVersion(read.get().version())
-                        .setDocument(ByteString.copyFrom(document))));
+        long version = read.get().version();
+        Command.Builder command = Command.newBuilder()
+                .setReplaceTraffic(
+                        ReplaceTraffic.newBuilder().setVersion(version).setDocument(ByteString.copyFrom(document)));
+        return order(command, decision.with(DecisionField.CONFIGURATION_VERSION, version));
     }
 
     /** Starts or ends the evacuation of a zone. */
     public CompletionStage<Outcome> setEvacuation(String zone, boolean active) {
-        return order(Command.newBuilder()
-                .setSetEvacuation(SetEvacuation.newBuilder().setZone(zone).setActive(active)));
+        Command.Builder command = Command.newBuilder()
+                .setSetEvacuation(SetEvacuation.newBuilder().setZone(zone).setActive(active));
+        return order(
+                command,
+                Decision.of(DecisionKind.ORDER_DECIDED)
+                        .with(DecisionField.ORDER, active ? "evacuate" : "end-evacuation")
+                        .with(DecisionField.ZONE, zone));
     }
 
     /** Returns the newest accepted document, of version 0 before the first, or none when that is not certain. */
@@ -73,9 +87,17 @@
                 .thenApply(answer -> answer.map(ReadAnswer::getTraffic));
     }
 
-    private CompletionStage<Outcome> order(Command.Builder command) {
-        return client.propose(command.build(), ORDER_TIMEOUT_MILLIS)
-                .thenApply(result -> result.getKind() == CommandResult.Kind.DONE ? Outcome.ACCEPTED : Outcome.UNKNOWN);
+    private CompletionStage<Outcome> order(Command.Builder command, Decision decision) {
+        return client.propose(command.build(), ORDER_TIMEOUT_MILLIS).thenApply(result -> {
+            Outcome outcome = result.getKind() == CommandResult.Kind.DONE ? Outcome.ACCEPTED : Outcome.UNKNOWN;
+            record(decision, outcome);
+            return outcome;
+        });
+    }
+
+    private void record(Decision decision, Outcome outcome) {
+        Decision decided = decision.with(DecisionField.OUTCOME, outcome);
+        decisions.record(outcome == Outcome.ACCEPTED ? decided : decided.asFailure());
     }
 
     private static Either<List<String>, TrafficConfiguration> check(TrafficConfiguration configuration) {
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetSubscription.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetSubscription.java
@@ -13,6 +13,10 @@
 import org.bulrushwheel.logic.fleet.FleetView;
 import org.bulrushwheel.logic.fleet.SourceChoice;
 import org.bulrushwheel.logic.time.TimeSource;
+import org.bulrushwheel.model.decision.Decision;
+import org.bulrushwheel.model.decision.DecisionField;
+import org.bulrushwheel.model.decision.DecisionKind;
+import org.bulrushwheel.model.decision.DecisionSink;
 import org.bulrushwheel.model.proto.EntryRecord;
 import org.bulrushwheel.model.proto.FleetHello;
 import org.bulrushwheel.model.proto.FleetUpdate;
@@ -22,8 +26,6 @@
 import org.bulrushwheel.model.proto.ReplicaPlace;
 import org.bulrushwheel.model.traffic.TrafficDocumentCodec;
 import org.bulrushwheel.wire.PeerNetwork;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Keeps an entry instance's view of the fleet: one control instance at a time tells it of changes; one that falls silent
@@ -35,7 +37,6 @@
     /** Name in the kernel. */
     public static final String NAME = "fleet-subscription";
 
-    private static final Logger LOGGER = LoggerFactory.getLogger(FleetSubscription.class);
     private static final long HELLO_PAUSE_MILLIS = 300;
     // Three hellos unanswered, or two ways between regions and an election.
     private static final long SILENT_MILLIS = 1_000;
@@ -52,11 +53,13 @@
     private final EventLoop loop;
     private final TimeSource time;
     private final MetricRegistry metrics;
+    private final DecisionSink decisions;
     private final List<Consumer<FleetView>> listeners = new ArrayList<>();
     private List<ReplicaPlace> replicas = List.of();
-    private FleetView view = FleetView.empty();
+    private volatile FleetView view = FleetView.empty();
     private String source = "";
-    private long currentMillis;
+    private volatile long currentMillis;
+    private boolean lost;
     private long switchedMillis;
     private double instances = 1;
     private volatile boolean leaving;
@@ -76,7 +79,9 @@
             PeerNetwork peers,
             EventLoop loop,
             TimeSource time,
-            MetricRegistry metrics) {
+            MetricRegistry metrics,
+            DecisionSink decisions) {
+        this.decisions = decisions;
         this.self = self;
         this.seeds = seeds;
         this.regionsByZone = Map.copyOf(regionsByZone);
@@ -122,6 +127,16 @@
         return ready && !leaving;
     }
 
+    /** Returns the view that is obeyed. */
+    public FleetView view() {
+        return view;
+    }
+
+    /** Returns how long ago a control instance that hears a leader confirmed the view, in milliseconds. */
+    public long viewAgeMillis() {
+        return time.monotonicMillis() - currentMillis;
+    }
+
     @Override
     public void start() {
         loop.scheduleWithFixedDelay(this::tick, 0, HELLO_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
@@ -160,11 +175,12 @@
         String next = candidates.get((candidates.indexOf(behind) + 1) % candidates.size());
         if (!source.isEmpty() && !source.equals(next)) {
             metrics.counter("fleet.sources.left").inc();
-            LOGGER.info(
-                    "turning from control instance={} to {}, current {} ms ago",
-                    source,
-                    next,
-                    nowMillis - currentMillis);
+            boolean silent = !behind.isEmpty();
+            lost = lost || silent;
+            decisions.record(Decision.of(silent ? DecisionKind.DEPENDENCY_LOST : DecisionKind.DEPENDENCY_REGAINED)
+                    .with(DecisionField.DEPENDENCY, "control-instance " + (silent ? source : next))
+                    .with(DecisionField.REASON, silent ? "silent, turning to " + next : "nearer than " + source)
+                    .with(DecisionField.SILENT_MILLIS, nowMillis - currentMillis));
         }
         source = next;
         switchedMillis = nowMillis;
@@ -186,6 +202,12 @@
         long nowMillis = time.monotonicMillis();
         if (sender.equals(source) && update.getCurrent()) {
             currentMillis = nowMillis;
+            if (lost) {
+                lost = false;
+                decisions.record(Decision.of(DecisionKind.DEPENDENCY_REGAINED)
+                        .with(DecisionField.DEPENDENCY, "control-instance " + sender)
+                        .with(DecisionField.VIEW_REVISION, update.getRevision()));
+            }
         }
         if (update.getCurrent() && update.getReplicasCount() > 0) {
             replicas = update.getReplicasList();
@@ -198,11 +220,24 @@
         if (next == view) {
             return;
         }
-        if (next.trafficVersion() != view.trafficVersion()) {
-            LOGGER.info("configuration version={} in force, revision={}", next.trafficVersion(), next.revision());
-        }
+        recordChange(next);
         view = next;
         ready = next.traffic().isPresent();
         listeners.forEach(listener -> listener.accept(next));
     }
+
+    private void recordChange(FleetView next) {
+        if (next.trafficVersion() != view.trafficVersion()) {
+            decisions.record(Decision.of(DecisionKind.CONFIGURATION_IN_FORCE)
+                    .with(DecisionField.CONFIGURATION_VERSION, next.trafficVersion())
+                    .with(DecisionField.VIEW_REVISION, next.revision()));
+        }
+        if (next.revision() != view.revision()) {
+            decisions.record(Decision.of(DecisionKind.VIEW_CHANGED)
+                    .with(DecisionField.VIEW_REVISION, next.revision())
+                    .with(DecisionField.ENDPOINTS, next.endpointCount())
+                    .with(DecisionField.ZONE, next.evacuatedZones())
+                    .with(DecisionField.ENTRY_INSTANCES, next.entryInstances()));
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/org/bulrushwheel/server/edge/RequestDecisionsTest.java
@@ -0,0 +1,100 @@
+package org.bulrushwheel.server.edge;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.bulrushwheel.model.decision.Decision;
+import org.bulrushwheel.model.decision.DecisionField;
+import org.bulrushwheel.model.decision.DecisionKind;
+import org.bulrushwheel.model.proto.EndpointRecord;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+@Timeout(30)
+class RequestDecisionsTest {
+    private final EdgeFixture edge = new EdgeFixture();
+    private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
+
+    @AfterEach
+    void close() throws IOException {
+        edge.close();
+        for (ScriptedEndpoint endpoint : endpoints) {
+            endpoint.close();
+        }
+    }
+
+    private void serve(int count, ScriptedEndpoint.Script script) throws IOException {
+        List<EndpointRecord> records = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            ScriptedEndpoint endpoint = new ScriptedEndpoint(script);
+            endpoints.add(endpoint);
+            records.add(EdgeFixture.endpoint("e" + index, endpoint));
+        }
+        edge.configure(records);
+    }
+
+    @Test
+    void answeredRequestTellsWhereItWentAndByWhichView() throws IOException {
+        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "whole")));
+        edge.call("/file/x", "a1");
+        assertEquals(
+                List.of(DecisionKind.ADMITTED, DecisionKind.DISPATCHED, DecisionKind.ANSWERED),
+                about("a1").map(Decision::kind).toList());
+        assertEquals("e0", last("a1", DecisionKind.DISPATCHED).fields().get(DecisionField.ENDPOINT));
+        assertEquals(1L, last("a1", DecisionKind.ADMITTED).fields().get(DecisionField.CONFIGURATION_VERSION));
+        assertFalse(last("a1", DecisionKind.ANSWERED).failure());
+    }
+
+    @Test
+    void requestRefusedUnderOverloadNamesWhoTurnedItAway() throws IOException {
+        serve(2, (request, connection) -> connection.send(ScriptedEndpoint.notExecuted()));
+        edge.call("/file/x", "a1");
+        Decision refused = last("a1", DecisionKind.REFUSED);
+        assertTrue(refused.failure());
+        assertEquals(503, refused.fields().get(DecisionField.STATUS));
+        assertEquals(false, refused.fields().get(DecisionField.MAY_HAVE_RUN));
+        String attempts = refused.fields().get(DecisionField.ATTEMPTS).toString();
+        assertTrue(attempts.contains("e0=not-executed@") && attempts.contains("e1=not-executed@"), attempts);
+    }
+
+    @Test
+    void requestThatAnEndpointBrokeOffNamesItAndSaysThatItMayHaveRun() throws IOException {
+        serve(1, (request, connection) -> connection.reset());
+        edge.call("/file/x", "a1");
+        Decision failed = last("a1", DecisionKind.FAILED);
+        assertEquals(502, failed.fields().get(DecisionField.STATUS));
+        assertEquals(true, failed.fields().get(DecisionField.MAY_HAVE_RUN));
+        assertTrue(failed.fields().get(DecisionField.ATTEMPTS).toString().startsWith("e0=broken@"));
+        assertTrue(edge.decisions().stream()
+                .anyMatch(decision -> decision.kind() == DecisionKind.ENDPOINT_JUDGED
+                        && "e0".equals(decision.fields().get(DecisionField.ENDPOINT))));
+    }
+
+    @Test
+    void requestRefusedForWantOfAConfigurationSaysHowOldTheViewIs() throws IOException {
+        edge.call("/file/x", "a1");
+        Decision refused = last("a1", DecisionKind.REFUSED);
+        assertEquals("no-configuration", refused.fields().get(DecisionField.REASON));
+        assertEquals(0L, refused.fields().get(DecisionField.CONFIGURATION_VERSION));
+        assertTrue(refused.fields().containsKey(DecisionField.VIEW_AGE_MILLIS));
+    }
+
+    private Stream<Decision> about(String request) {
+        return edge.decisions().stream()
+                .filter(decision -> decision.request().filter(request::equals).isPresent());
+    }
+
+    private Decision last(String request, DecisionKind kind) {
+        return about(request)
+                .filter(decision -> decision.kind() == kind)
+                .reduce((first, second) -> second)
+                .orElseThrow(() -> new AssertionError(kind + " is missing among " + edge.decisions()));
+    }
+}
--- a/src/test/java/org/bulrushwheel/server/fleet/LocalFleetTest.java
+++ b/src/test/java/org/bulrushwheel/server/fleet/LocalFleetTest.java
@@ -125,6 +125,18 @@
         assertEquals(last, read(3).text());
     }
 
+    @Test
+    void metricsTellTheViewOfAnEntryInstanceAndTheLeaderOfControlInstances() {
+        eventually(
+                "a leader and a view",
+                () -> metrics(fleet.entryMetricsAddress(0)).matches("(?s).*bulrushwheel_view_age_millis \\d{1,3}\\n.*")
+                        && metrics(fleet.controlMetricsAddress(0)).contains("bulrushwheel_control_hears_leader 1\n"));
+    }
+
+    private String metrics(String address) {
+        return http.get(address, "/metrics").text();
+    }
+
     @Test
     void lookUpNamesEntryInstancesUntilTheyLeave() {
         eventually("no configuration was accepted", () -> accepted(0, traffic(1, "/first/")));
