--- a/src/main/java/org/bulrushwheel/control/ControlService.java
+++ b/src/main/java/org/bulrushwheel/control/ControlService.java
@@ -20,13 +20,11 @@
 import org.bulrushwheel.kernel.KernelService;
 import org.bulrushwheel.logic.control.ControlState;
 import org.bulrushwheel.logic.fleet.FleetState;
-import org.bulrushwheel.logic.raft.LostVoters;
 import org.bulrushwheel.logic.raft.RaftNode;
 import org.bulrushwheel.logic.raft.RaftReady;
 import org.bulrushwheel.logic.raft.RaftRole;
 import org.bulrushwheel.logic.raft.RaftTimings;
 import org.bulrushwheel.logic.raft.ReplicaId;
-import org.bulrushwheel.logic.raft.ReplicaReplacement;
 import org.bulrushwheel.logic.time.TimeSource;
 import org.bulrushwheel.model.config.VersionedConfiguration;
 import org.bulrushwheel.model.decision.DecisionSink;
@@ -34,7 +32,6 @@
 import org.bulrushwheel.model.proto.CommandResult;
 import org.bulrushwheel.model.proto.ControlSnapshot;
 import org.bulrushwheel.model.proto.Frame;
-import org.bulrushwheel.model.proto.JoinRequest;
 import org.bulrushwheel.model.proto.LogEntry;
 import org.bulrushwheel.model.proto.RaftMessage;
 import org.bulrushwheel.model.proto.ReadAnswer;
@@ -61,12 +58,8 @@
 
     private static final Logger LOGGER = LoggerFactory.getLogger(ControlService.class);
     private static final long TICK_MILLIS = 50;
-    private static final long JOIN_PAUSE_MILLIS = 500;
     // A full disk is freed within seconds; opening it costs little.
     private static final long REOPEN_PAUSE_MILLIS = 500;
-    private static final long REMOVAL_PAUSE_MILLIS = 1_000;
-    // Longer than any restart; a replica that comes back later joins again with the log that it has.
-    private static final long LOST_VOTER_MILLIS = 12_000;
     private static final int MAX_BATCH = 512;
 
     private final ReplicaSettings settings;
@@ -80,6 +73,7 @@
     private final PendingProposals proposals = new PendingProposals();
     private final Map<Long, Runnable> pendingReads = new HashMap<>();
     private final ControlState state = new ControlState();
+    private final ReplicaMembership membership;
     private final Thread thread = new Thread(this::run, "control");
 
     private ReplicaNews news = new ReplicaNews(DecisionSink.NONE);
@@ -89,8 +83,6 @@
     private String replica = "";
     private long appliedIndex;
     private long nextReadId;
-    private long nextJoinMillis;
-    private long nextRemovalMillis;
     private long announcedRevision;
     private RaftRole lastRole = RaftRole.FOLLOWER;
     private volatile boolean stopping;
@@ -114,6 +106,7 @@
         this.time = time;
         this.random = random;
         this.metrics = metrics;
+        this.membership = new ReplicaMembership(settings, peers, time);
         peers.handle(
                 Frame.BodyCase.RAFT,
                 (frame, reply) -> inbox.add(() -> requireNode().step(frame.getRaft())));
@@ -125,7 +118,9 @@
                 .thenAccept(answer -> answer.ifPresentOrElse(
                         found -> reply.accept(Frame.newBuilder().setReadAnswer(found)),
                         () -> reply.accept(Frame.newBuilder().setCommandResult(PendingProposals.notLeader())))));
-        peers.handle(Frame.BodyCase.JOIN_REQUEST, (frame, reply) -> inbox.add(() -> onJoin(frame.getJoinRequest())));
+        peers.handle(
+                Frame.BodyCase.JOIN_REQUEST,
+                (frame, reply) -> inbox.add(() -> membership.onJoin(requireNode(), frame.getJoinRequest())));
     }
 
     /** Prepares the data folder of a replica of a new deployment whose first voters are these instances. */
@@ -298,8 +293,7 @@
         }
         batch.forEach(Runnable::run);
         requireNode().tick(time.monotonicMillis());
-        askToJoin();
-        removeLostVoter();
+        membership.keep(requireNode(), replica);
         handleReady();
         maybeSnapshot();
         publishStatus();
@@ -398,48 +392,6 @@
         metrics.counter("control.snapshots").inc();
     }
 
-    private void askToJoin() {
-        RaftNode raft = requireNode();
-        long now = time.monotonicMillis();
-        if (raft.voters().getVotersList().contains(replica) || now < nextJoinMillis) {
-            return;
-        }
-        nextJoinMillis = now + JOIN_PAUSE_MILLIS;
-        settings.joinTargets().get().stream()
-                .filter(peer -> !peer.equals(settings.instance()))
-                .forEach(peer -> peers.send(
-                        peer,
-                        Frame.newBuilder()
-                                .setJoinRequest(JoinRequest.newBuilder().setReplica(replica))));
-    }
-
-    private void onJoin(JoinRequest request) {
-        RaftNode raft = requireNode();
-        String joining = request.getReplica();
-        if (raft.role() != RaftRole.LEADER) {
-            if (!request.getForwarded() && raft.leader().isPresent()) {
-                peers.send(
-                        leaderInstance(),
-                        Frame.newBuilder().setJoinRequest(request.toBuilder().setForwarded(true)));
-            }
-            return;
-        }
-        boolean caughtUp = raft.isInContact(joining) && raft.matchIndexOf(joining) >= raft.commitIndex();
-        ReplicaReplacement.nextChange(raft.voters(), ReplicaId.parse(joining), caughtUp)
-                .ifPresent(raft::proposeVoters);
-    }
-
-    private void removeLostVoter() {
-        RaftNode raft = requireNode();
-        long now = time.monotonicMillis();
-        if (raft.role() != RaftRole.LEADER || !settings.removesLostVoters() || now < nextRemovalMillis) {
-            return;
-        }
-        nextRemovalMillis = now + REMOVAL_PAUSE_MILLIS;
-        LostVoters.nextChange(raft.voters(), raft.votersSilentFor(LOST_VOTER_MILLIS))
-                .ifPresent(raft::proposeVoters);
-    }
-
     private void announceFleet() {
         long revision = state.fleet().revision();
         if (revision != announcedRevision) {
