--- a/src/test/java/org/bulrushwheel/daemon/HangUpTest.java
+++ b/src/test/java/org/bulrushwheel/daemon/HangUpTest.java
@@ -19,29 +19,6 @@
 
 @Timeout(60)
 class HangUpTest {
-    private static final String SETTINGS =
-            """
-            instance = "entry-1"
-            zone = "a1"
-            region = "a"
-            peerAddress = "127.0.0.1:%d"
-            callerAddress = "127.0.0.1:%d"
-            readinessAddress = "127.0.0.1:%d"
-            seeds = ["127.0.0.9:%d"]
-            firstStart = false
-            zones = [{ zone = "a1", region = "a" }]
-
-            [bounds]
-            stopGraceSeconds = 1
-            retryWindowSeconds = 10
-            retryRatio = 0.2
-            retrySlack = 100
-            coldLoadFactor = 1.5
-            coldSlackRequests = 5
-            announcementSeconds = 1.5
-            lookupValidSeconds = 1.5
-            """;
-
     @TempDir
     private Path folder;
 
@@ -49,7 +26,8 @@
     void hangUpEndsNothing() throws IOException, InterruptedException {
         List<Integer> ports = LoopbackPorts.free(4);
         Path file = folder.resolve("settings.toml");
-        Files.writeString(file, SETTINGS.formatted(ports.toArray()));
+        Files.writeString(
+                file, EntrySettingsFile.document(ports.get(0), ports.get(1), ports.get(2), "127.0.0.9", ports.get(3)));
         Process process = new ProcessBuilder(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-cp",
--- a/src/test/java/org/bulrushwheel/daemon/SettingsWatchTest.java
+++ b/src/test/java/org/bulrushwheel/daemon/SettingsWatchTest.java
@@ -23,29 +23,6 @@
 /** The platform may change the file without a signal. */
 @Timeout(60)
 class SettingsWatchTest {
-    private static final String SETTINGS =
-            """
-            instance = "entry-1"
-            zone = "a1"
-            region = "a"
-            peerAddress = "127.0.0.1:7000"
-            callerAddress = "127.0.0.1:7001"
-            readinessAddress = "127.0.0.1:7002"
-            seeds = ["%s:7003"]
-            firstStart = false
-            zones = [{ zone = "a1", region = "a" }]
-
-            [bounds]
-            stopGraceSeconds = 1
-            retryWindowSeconds = 10
-            retryRatio = 0.2
-            retrySlack = 100
-            coldLoadFactor = 1.5
-            coldSlackRequests = 5
-            announcementSeconds = 1.5
-            lookupValidSeconds = 1.5
-            """;
-
     @TempDir
     private Path folder;
 
@@ -56,7 +33,7 @@
     @BeforeEach
     void start() throws IOException {
         file = folder.resolve("settings.toml");
-        String document = SETTINGS.formatted("127.0.0.9");
+        String document = settings("127.0.0.9");
         Files.writeString(file, document);
         watch = new SettingsWatch(
                 file, document, SettingsReader.readFleet(document).get());
@@ -69,6 +46,10 @@
         watch.stop();
     }
 
+    private static String settings(String seedHost) {
+        return EntrySettingsFile.document(7_000, 7_001, 7_002, seedHost, 7_003);
+    }
+
     private Decision replaceFile(String document) throws IOException, InterruptedException {
         Path next = folder.resolve("next.toml");
         Files.writeString(next, document);
@@ -79,8 +60,7 @@
     @Test
     void changedSeedsAreTakenWithoutASignal() throws IOException, InterruptedException {
         assertEquals(
-                DecisionKind.SETTINGS_READ,
-                replaceFile(SETTINGS.formatted("127.0.0.8")).kind());
+                DecisionKind.SETTINGS_READ, replaceFile(settings("127.0.0.8")).kind());
         assertEquals(List.of("127.0.0.8:7000"), watch.current().seedPeers());
     }
 
@@ -88,7 +68,7 @@
     void fileThatCannotBeReadChangesNothingAndIsTold() throws IOException, InterruptedException {
         assertTrue(replaceFile("seeds = [").failure());
         assertEquals(List.of("127.0.0.9:7000"), watch.current().seedPeers());
-        replaceFile(SETTINGS.formatted("127.0.0.7"));
+        replaceFile(settings("127.0.0.7"));
         assertEquals(List.of("127.0.0.7:7000"), watch.current().seedPeers());
     }
 }
