Answer requests on their way when an instance stops, and after a malformed one

A malformed request ended its connection without the answers to the requests ahead. headerTimeoutMillis was read nowhere.

Change: until the listener closes only an answer closes a connection; after that a connection closes once it has been quiet for longer than a request can be on its way, and the stop waits for it. Rejections are answered in order.

--- a/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
+++ b/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
@@ -38,6 +38,12 @@
 final class CallerConnection extends ChannelDuplexHandler {
     // Further pipelined requests stay unread in the socket buffer.
     private static final int MAX_PIPELINED_REQUESTS = 16;
+    // Callers may reuse a connection until just before the idle timeout.
+    private static final long REUSE_MARGIN_MILLIS = 1_000;
+    // A caller sends its request this long after its connection was accepted or used, at the latest, when the request
+    // is
+    // already on its way.
+    private static final long MAX_REQUEST_TRANSIT_MILLIS = 1_000;
     // Time for the caller to read its last response before the socket is closed.
     private static final long LINGER_MILLIS = 1_000;
 
@@ -59,6 +65,9 @@
     private @Nullable HttpRequest head;
     private @Nullable ByteBuf body;
     private boolean closing;
+    private boolean rejected;
+    private boolean receivedObject;
+    private boolean receivingHead;
     private long lastActiveMillis;
 
     CallerConnection(EdgeContext context, EdgeServer server) {
@@ -67,24 +76,28 @@
         this.lastActiveMillis = context.nowMillis();
     }
 
-    /** Closes the connection if it exceeded the idle timeout, or if it is idle while the instance is draining. */
-    void closeIfIdle(boolean draining) {
-        boolean busy = !pendingRequests.isEmpty() || head != null;
-        if (busy || channel == null || closing) {
+    /**
+     * Closes the connection if it is idle for longer than the idle timeout, or for longer than a request can be on its
+     * way if the instance no longer accepts connections. A request whose headers do not arrive in time is rejected.
+     */
+    void closeIfIdle(boolean acceptsConnections) {
+        if (channel == null || closing || rejected) {
             return;
         }
-        // Callers may reuse a connection until just before the limit, so allow a margin of one second.
-        boolean idle = context.nowMillis() - lastActiveMillis > limits().idleTimeoutMillis() + 1_000;
-        if (idle || draining) {
+        long idleMillis = context.nowMillis() - lastActiveMillis;
+        if (receivingHead && idleMillis > limits().headerTimeoutMillis()) {
+            reject(408, "the request headers did not arrive in time; send the request again");
+            return;
+        }
+        boolean busy = !pendingRequests.isEmpty() || head != null || receivingHead;
+        long maxIdleMillis =
+                acceptsConnections ? limits().idleTimeoutMillis() + REUSE_MARGIN_MILLIS : MAX_REQUEST_TRANSIT_MILLIS;
+        if (!busy && idleMillis > maxIdleMillis) {
             closing = true;
             channel.close();
         }
     }
 
-    boolean isBusy() {
-        return !pendingRequests.isEmpty();
-    }
-
     @Override
     public void channelActive(ChannelHandlerContext handlerContext) {
         channel = handlerContext;
@@ -109,7 +122,7 @@
     @Override
     public void channelRead(ChannelHandlerContext handlerContext, Object message) {
         try {
-            if (!closing && message instanceof HttpObject object) {
+            if (!closing && !rejected && message instanceof HttpObject object) {
                 read(object);
             }
         } finally {
@@ -117,8 +130,21 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext handlerContext) {
+        // Bytes that complete no request line and headers are not passed on by the decoder.
+        if (!receivedObject && head == null) {
+            receivingHead = true;
+            lastActiveMillis = context.nowMillis();
+        }
+        receivedObject = false;
+        handlerContext.fireChannelReadComplete();
+    }
+
     private void read(HttpObject object) {
         lastActiveMillis = context.nowMillis();
+        receivedObject = true;
+        receivingHead = false;
         if (object.decoderResult().isFailure()) {
             boolean tooLong = object.decoderResult().cause() instanceof TooLongFrameException;
             reject(
@@ -131,7 +157,7 @@
         if (object instanceof HttpRequest request) {
             onHead(request);
         }
-        if (!closing && head != null && object instanceof HttpContent content) {
+        if (!rejected && head != null && object instanceof HttpContent content) {
             onContent(content);
         }
     }
@@ -203,11 +229,15 @@
             return;
         }
         pending.answer = answer;
+        writeReadyAnswers();
+    }
+
+    private void writeReadyAnswers() {
         while (!closing && !pendingRequests.isEmpty() && pendingRequests.peekFirst().answer != null) {
             PipelinedRequest first = pendingRequests.pollFirst();
             write(first, java.util.Objects.requireNonNull(first.answer));
             PipelinedRequest next = pendingRequests.peekFirst();
-            if (!closing && next != null && next.exchange == null) {
+            if (!closing && next != null && next.exchange == null && next.answer == null) {
                 start(next);
             }
         }
@@ -236,23 +266,17 @@
         }
     }
 
+    /** Answers an unreadable request after all preceding ones; the connection is closed with this answer. */
     private void reject(int status, String reason) {
         discardPartialRequest();
-        if (!pendingRequests.isEmpty()) {
-            // A rejection must not overtake preceding responses, so the connection is closed without one.
-            closing = true;
-            pendingRequests.forEach(this::abandon);
-            pendingRequests.clear();
-            requireChannel().close();
-            return;
-        }
-        EdgeAnswer answer = EdgeAnswer.localReply(status, reason);
-        HttpHeaders headers = answer.headers()
-                .set(HttpHeaderNames.CONTENT_LENGTH, answer.body().readableBytes())
-                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        rejected = true;
+        receivingHead = false;
         context.count("edge.rejected." + status);
-        writeAndClose(new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, answer.status(), answer.body(), headers, EmptyHttpHeaders.INSTANCE));
+        PipelinedRequest unreadable = new PipelinedRequest(new CallerRequest(
+                HttpMethod.GET, "", EmptyHttpHeaders.INSTANCE, Unpooled.EMPTY_BUFFER, false, context.nowMillis()));
+        unreadable.answer = EdgeAnswer.localReply(status, reason);
+        pendingRequests.addLast(unreadable);
+        writeReadyAnswers();
     }
 
     /** Writes the last response and closes the socket after the caller had time to read it. */
--- a/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
@@ -40,7 +40,6 @@
     private static final long SWEEP_MILLIS = 500;
     // By then callers have received lookup results that no longer contain this instance.
     private static final long LISTEN_WHILE_DRAINING_MILLIS = 2_200;
-    private static final long IDLE_WHILE_DRAINING_MILLIS = 300;
     private static final long DRAIN_POLL_MILLIS = 50;
 
     private final EdgeSettings settings;
@@ -49,7 +48,8 @@
     private final Set<CallerConnection> connections = new HashSet<>();
     private @Nullable Channel listener;
     private volatile boolean draining;
-    private volatile int busyConnections;
+    private volatile boolean acceptsConnections = true;
+    private volatile int openConnections;
 
     /** Creates a server that forwards requests according to the fleet view last set with {@link #use}. */
     public EdgeServer(
@@ -129,20 +129,22 @@
 
     /**
      * Continues to accept requests until callers have learned from the lookup that this instance is leaving, then
-     * closes the listener and waits until no request is in flight, but not beyond the deadline.
+     * closes the listener and waits until no caller is connected, but not beyond the deadline. Until the listener is
+     * closed, only a response closes a connection; after that, a connection is also closed once it has been idle for so
+     * long that no request can be on its way.
      */
     @Override
     public void drain(long deadlineNanos) {
         draining = true;
-        loop.schedule(this::sweep, IDLE_WHILE_DRAINING_MILLIS, TimeUnit.MILLISECONDS);
         sleepUntil(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LISTEN_WHILE_DRAINING_MILLIS), deadlineNanos);
         if (listener != null) {
             listener.close().awaitUninterruptibly(DRAIN_POLL_MILLIS);
         }
+        acceptsConnections = false;
         do {
             loop.submit(this::sweep).awaitUninterruptibly();
             sleepUntil(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DRAIN_POLL_MILLIS), deadlineNanos);
-        } while (busyConnections > 0 && System.nanoTime() - deadlineNanos < 0);
+        } while (openConnections > 0 && System.nanoTime() - deadlineNanos < 0);
     }
 
     @Override
@@ -165,10 +167,9 @@
     }
 
     private void sweep() {
-        List.copyOf(connections).forEach(connection -> connection.closeIfIdle(draining));
+        List.copyOf(connections).forEach(connection -> connection.closeIfIdle(acceptsConnections));
         context.closeExpired();
-        busyConnections =
-                (int) connections.stream().filter(CallerConnection::isBusy).count();
+        openConnections = connections.size();
     }
 
     private HttpDecoderConfig decoderConfig() {
--- a/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
@@ -317,4 +317,72 @@
             assertTrue(answer.toLowerCase().contains("connection: close"), answer);
         }
     }
+
+    private static final String POST_HEAD =
+            "POST /file/x HTTP/1.1\r\nHost: host.example\r\nBulrushwheel-Request-Id: a1\r\n"
+                    + "Bulrushwheel-Timeout-Millis: 5000\r\nContent-Length: 3\r\n\r\n";
+
+    /** Times are in milliseconds since the start of the stop; negative ones are before it. */
+    @ParameterizedTest
+    @CsvSource({"-50, 0, 600", "2000, 0, 2700", "-50, 20, 2600", "-50, 1000, 2800"})
+    void stopAnswersRequestOnItsWayOnAcceptedConnection(long connectAt, int bytesSentAtOnce, long restSentAt)
+            throws Exception {
+        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "whole")));
+        byte[] request = (POST_HEAD + "abc").getBytes(StandardCharsets.ISO_8859_1);
+        int firstPart = Math.min(bytesSentAtOnce, request.length - 2);
+        long stopNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Math.max(0, -connectAt));
+        CompletableFuture<Void> stopped = CompletableFuture.runAsync(() -> {
+            sleepUntil(stopNanos);
+            edge.server().drain(System.nanoTime() + TimeUnit.SECONDS.toNanos(10));
+            edge.server().stop();
+        });
+        sleepUntil(stopNanos + TimeUnit.MILLISECONDS.toNanos(connectAt));
+        try (Socket caller = edge.connect()) {
+            caller.getOutputStream().write(request, 0, firstPart);
+            sleepUntil(stopNanos + TimeUnit.MILLISECONDS.toNanos(restSentAt));
+            assertFalse(stopped.isDone(), "the stop did not wait for an accepted connection");
+            caller.getOutputStream().write(request, firstPart, request.length - firstPart);
+            String answer = EdgeFixture.readAll(caller.getInputStream());
+            assertTrue(answer.endsWith("whole"), answer);
+            assertTrue(answer.toLowerCase().contains("connection: close"), answer);
+            stopped.get(10, TimeUnit.SECONDS);
+        }
+    }
+
+    private static void sleepUntil(long targetNanos) {
+        try {
+            TimeUnit.NANOSECONDS.sleep(Math.max(0, targetNanos - System.nanoTime()));
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Test
+    void headersThatNeverEndAreRejectedAfterTheHeaderTimeout() throws IOException {
+        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
+        assertTrue(edge.sendRaw("GET /read/x HTTP/1.1\r\nHost: host.exa").startsWith("HTTP/1.1 408"));
+        assertEquals(0, totalReceived());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"NONSENSE\r\n\r\n", "GET /read/x HTTP/1.1\r\n\r\n"})
+    void malformedRequestIsRejectedAfterTheAnswersToThePrecedingOnes(String malformed) throws IOException {
+        serve(1, (request, connection) -> {
+            Thread.sleep(200);
+            connection.send(ScriptedEndpoint.ok(request, "[" + request.header("Bulrushwheel-Request-Id") + "]"));
+        });
+        String answers = edge.sendRaw(EdgeFixture.get("/read/x", "a1") + EdgeFixture.get("/read/x", "a2") + malformed);
+        assertTrue(answers.contains("[a1]") && answers.contains("[a2]"), answers);
+        assertTrue(answers.indexOf("[a2]") < answers.indexOf("HTTP/1.1 400"), answers);
+    }
+
+    @Test
+    void stopEndsSoonWhileCallersKeepIdleConnections() throws Exception {
+        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "whole")));
+        try (Socket caller = edge.connect()) {
+            edge.call("/read/other", "b1");
+            edge.server().drain(System.nanoTime() + TimeUnit.SECONDS.toNanos(20));
+            assertEquals(-1, caller.getInputStream().read());
+        }
+    }
 }
