--- a/src/main/java/org/bulrushwheel/daemon/DefaultInterfaces.java
+++ b/src/main/java/org/bulrushwheel/daemon/DefaultInterfaces.java
@@ -76,19 +76,31 @@
                                 ApiReply.json(200, document.getDocument().toString(StandardCharsets.UTF_8)))
                         .orElseGet(() -> ApiReply.empty(503)));
             }
-            if (call.path().startsWith(EVACUATIONS)) {
-                return services.setEvacuation(
-                                call.path().substring(EVACUATIONS.length()),
-                                call.method().equals("PUT"))
+            if (call.path().startsWith(EVACUATIONS) && (isPut(call) || isDelete(call))) {
+                return services.setEvacuation(call.path().substring(EVACUATIONS.length()), isPut(call))
                         .thenApply(DefaultInterfaces::toReply);
             }
-            if (call.path().startsWith(ENDPOINTS)) {
+            if (call.path().startsWith(ENDPOINTS) && (isPut(call) || isDelete(call))) {
                 return endpoint(services, call);
             }
-            return done(ApiReply.empty(404));
+            boolean known = call.path().equals(TRAFFIC)
+                    || call.path().startsWith(EVACUATIONS)
+                    || call.path().startsWith(ENDPOINTS);
+            return done(
+                    known
+                            ? ApiReply.text(405, "the method is not supported here; use PUT, or GET or DELETE\n")
+                            : ApiReply.empty(404));
         };
     }
 
+    private static boolean isPut(ApiCall call) {
+        return call.method().equals("PUT");
+    }
+
+    private static boolean isDelete(ApiCall call) {
+        return call.method().equals("DELETE");
+    }
+
     @Override
     public ApiHandler lookup(FleetServices services) {
         return call -> done(call.path().equals(ENTRIES) ? entries(services, call) : ApiReply.empty(404));
@@ -96,19 +108,25 @@
 
     private static CompletionStage<ApiReply> endpoint(FleetServices services, ApiCall call) {
         String id = call.path().substring(ENDPOINTS.length());
-        if (call.method().equals("DELETE")) {
+        if (isDelete(call)) {
             return services.leave(EndpointLeave.newBuilder().setId(id).build())
                     .thenApply(DefaultInterfaces::acknowledged);
         }
         try {
             return services.announce(toEndpointRecord(id, JSON.readValue(call.body(), Announcement.class)))
                     .thenApply(DefaultInterfaces::acknowledged);
-        } catch (IOException e) {
+        } catch (IOException | IllegalArgumentException e) {
             return done(ApiReply.text(400, "cannot read the announcement: " + e.getMessage() + "\n"));
         }
     }
 
     private static EndpointRecord toEndpointRecord(String id, Announcement announcement) {
+        if (id.isEmpty()
+                || announcement.service() == null
+                || announcement.address() == null
+                || announcement.zone() == null) {
+            throw new IllegalArgumentException("an id, a service, an address and a zone are required");
+        }
         return EndpointRecord.newBuilder()
                 .setId(id)
                 .setBornEpochMillis(announcement.bornEpochMillis())
--- a/src/main/java/org/bulrushwheel/kernel/Kernel.java
+++ b/src/main/java/org/bulrushwheel/kernel/Kernel.java
@@ -68,7 +68,11 @@
     public synchronized void stop(long drainDeadlineNanos) {
         decisions.record(Decision.of(DecisionKind.STOPPING));
         for (KernelService service : stopOrder()) {
-            service.drain(drainDeadlineNanos);
+            try {
+                service.drain(drainDeadlineNanos);
+            } catch (RuntimeException e) {
+                LOGGER.warn("service={} failed to drain", service.name(), e);
+            }
         }
         stopStarted();
         decisions.record(Decision.of(DecisionKind.STOPPED));
--- a/src/main/java/org/bulrushwheel/logic/budget/LinkMeter.java
+++ b/src/main/java/org/bulrushwheel/logic/budget/LinkMeter.java
@@ -10,18 +10,21 @@
  * have equal shares and do not lend them, so their sum stays below the link's capacity without any message.
  *
  * <p>Invariant: a region may be used only while the bytes of the last second, plus an answer of average size for each
- * request in flight and the new one, stay within the share. Not thread safe.
+ * request in flight and the new one, stay within the share; a smaller share admits one request at a time. Not thread
+ * safe.
  */
 public final class LinkMeter {
     private static final long WINDOW_MILLIS = 1_000;
     private static final double SMOOTHING_FACTOR = 0.1;
+    // Larger than most answers, so that a region is not flooded before the first answers have shown their size.
+    private static final double INITIAL_ANSWER_BYTES = 64 * 1_024;
 
     private record Transfer(long atMillis, long bytes) {}
 
     private static final class Usage {
         private final Deque<Transfer> transfers = new ArrayDeque<>();
         private long bytes;
-        private double averageBytes;
+        private double averageBytes = INITIAL_ANSWER_BYTES;
         private int inFlight;
     }
 
@@ -30,7 +33,9 @@
     /** Whether another request to the region fits into the given share. */
     public boolean hasRoom(String region, long shareBytesPerSecond, long nowMillis) {
         Usage usage = usageOf(region, nowMillis);
-        return usage.bytes + usage.averageBytes * (usage.inFlight + 1) <= shareBytesPerSecond;
+        boolean unused = usage.inFlight == 0 && usage.bytes == 0;
+        return (unused && shareBytesPerSecond > 0)
+                || usage.bytes + usage.averageBytes * (usage.inFlight + 1) <= shareBytesPerSecond;
     }
 
     /** Records a request that was sent to a region. */
--- a/src/main/java/org/bulrushwheel/logic/placement/RegionSpill.java
+++ b/src/main/java/org/bulrushwheel/logic/placement/RegionSpill.java
@@ -29,9 +29,10 @@
         return nowMillis >= nextStepMillis;
     }
 
-    /** Adjusts the fractions to the mean requests per slot of each region. */
+    /** Adjusts the fractions to the mean requests per slot of each region; one without endpoints starts again at 0. */
     void step(Map<String, Double> requestsPerSlotByRegion, long nowMillis) {
         nextStepMillis = nowMillis + STEP_MILLIS;
+        fractionByRegion.keySet().retainAll(requestsPerSlotByRegion.keySet());
         requestsPerSlotByRegion.forEach((region, requestsPerSlot) -> {
             double lowestOther = requestsPerSlotByRegion.entrySet().stream()
                     .filter(other -> !other.getKey().equals(region))
--- a/src/main/java/org/bulrushwheel/logic/retry/PoisonRegistry.java
+++ b/src/main/java/org/bulrushwheel/logic/retry/PoisonRegistry.java
@@ -69,7 +69,9 @@
         if (suspects.size() >= MAX_RECORDS) {
             suspects.values().removeIf(suspect -> suspect.expiresAtMillis <= nowMillis);
         }
-        Suspect suspect = suspects.computeIfAbsent(fingerprint, name -> new Suspect());
+        Suspect suspect = suspects.compute(
+                fingerprint,
+                (name, known) -> known == null || known.expiresAtMillis <= nowMillis ? new Suspect() : known);
         suspect.expiresAtMillis = nowMillis + RETENTION_MILLIS;
         return suspect;
     }
--- a/src/main/java/org/bulrushwheel/model/refusal/RefusalReason.java
+++ b/src/main/java/org/bulrushwheel/model/refusal/RefusalReason.java
@@ -22,6 +22,7 @@
     DEADLINE_EXCEEDED(504, "send the request again with a later deadline"),
     UPSTREAM_CONNECT_FAILED(502, "send the request again; check that the upstream listens at its announced address"),
     UPSTREAM_FAILED(502, "send the request again if it is idempotent"),
+    INTERNAL_ERROR(500, "report this to the operators, with the log of the instance"),
     UPSTREAM_SHED(503, "send the request again after the time in Retry-After"),
     POISON_REQUEST(422, "do not send this request again; it crashed the upstreams that ran it"),
     FORWARD_LOOP(508, "report this to the operators: a forwarded request was forwarded again"),
--- a/src/main/java/org/bulrushwheel/server/HttpService.java
+++ b/src/main/java/org/bulrushwheel/server/HttpService.java
@@ -139,6 +139,6 @@
     private void onHandlerFailure(HttpServerExchange exchange, RuntimeException e) {
         metrics.counter("http.handler.failed").inc();
         LOGGER.warn("handler failed path={}", exchange.getRequestPath(), e);
-        answers.refuse(exchange, Refusal.unknown(RefusalReason.UPSTREAM_FAILED, "internal error"));
+        answers.refuse(exchange, Refusal.unknown(RefusalReason.INTERNAL_ERROR, "the handler of this path failed"));
     }
 }
--- a/src/main/java/org/bulrushwheel/server/admin/AdminEndpoint.java
+++ b/src/main/java/org/bulrushwheel/server/admin/AdminEndpoint.java
@@ -1,12 +1,13 @@
 package org.bulrushwheel.server.admin;
 
 import java.util.Map;
-import java.util.Optional;
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
 import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
+import io.vavr.control.Either;
 import org.bulrushwheel.logic.budget.RateLimiter;
 import org.bulrushwheel.logic.time.TimeSource;
 import org.bulrushwheel.model.refusal.Refusal;
@@ -68,8 +69,12 @@
                 .receiveFullBytes(
                         (received, body) ->
                                 received.dispatch(SameThreadExecutor.INSTANCE, () -> authorize(received, method, body)),
-                        (failed, error) ->
-                                refuse(failed, RefusalReason.BODY_INCOMPLETE, "the body is incomplete or too large"));
+                        (failed, error) -> refuse(
+                                failed,
+                                error instanceof RequestTooBigException
+                                        ? RefusalReason.BODY_TOO_LARGE
+                                        : RefusalReason.BODY_INCOMPLETE,
+                                "the body was not received: " + error.getMessage()));
     }
 
     private boolean tryAcquirePermit() {
@@ -83,9 +88,10 @@
                 .execute(() -> call(exchange, method, operator, body)));
     }
 
-    private void call(HttpServerExchange exchange, Method method, Optional<Operator> operator, byte[] body) {
-        if (operator.isEmpty()) {
-            refuse(exchange, RefusalReason.UNAUTHORIZED, "the bearer token is missing or not valid");
+    private void call(
+            HttpServerExchange exchange, Method method, Either<RefusalReason, Operator> operator, byte[] body) {
+        if (operator.isLeft()) {
+            refuse(exchange, operator.getLeft(), "the operator could not be authenticated");
         } else if (!operator.get().mayActAs(method.role())) {
             refuse(exchange, RefusalReason.FORBIDDEN, "the role must be at least " + method.role());
         } else {
--- a/src/main/java/org/bulrushwheel/server/admin/AdminHandler.java
+++ b/src/main/java/org/bulrushwheel/server/admin/AdminHandler.java
@@ -233,11 +233,12 @@
         readJson(exchange, body, OperatorChange.class).ifPresent(change -> {
             boolean otherTeam =
                     operator.team().filter(team -> !team.equals(change.team())).isPresent();
-            if (otherTeam || !change.tokenSha256().matches("[0-9a-f]{64}|")) {
-                refuse(
-                        exchange,
-                        RefusalReason.FORBIDDEN,
-                        "the team must be the operator's own team and the hash a SHA-256 in lower-case hex");
+            if (otherTeam) {
+                refuse(exchange, RefusalReason.FORBIDDEN, "the team must be the operator's own team");
+                return;
+            }
+            if (change.tokenSha256() == null || !change.tokenSha256().matches("[0-9a-f]{64}|")) {
+                refuse(exchange, RefusalReason.MALFORMED_REQUEST, "the hash must be a SHA-256 in lower-case hex");
                 return;
             }
             propose(
--- a/src/main/java/org/bulrushwheel/server/admin/Authorizer.java
+++ b/src/main/java/org/bulrushwheel/server/admin/Authorizer.java
@@ -5,11 +5,13 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import io.vavr.control.Either;
 import org.bulrushwheel.control.ControlClient;
 import org.bulrushwheel.logic.time.TimeSource;
 import org.bulrushwheel.model.proto.PutOperator;
 import org.bulrushwheel.model.proto.ReadAnswer;
 import org.bulrushwheel.model.proto.ReadRequest;
+import org.bulrushwheel.model.refusal.RefusalReason;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -35,14 +37,15 @@
         this.control = control;
     }
 
-    /** Completes with the operator whose token the request carries, or with empty if there is none. */
-    public CompletableFuture<Optional<Operator>> operatorOf(HttpServerExchange exchange) {
+    /**
+     * Completes with the operator whose token the request carries, or with {@link RefusalReason#UNAUTHORIZED} if there
+     * is none, or with {@link RefusalReason#NO_QUORUM} if no majority of control replicas could be asked.
+     */
+    public CompletableFuture<Either<RefusalReason, Operator>> operatorOf(HttpServerExchange exchange) {
         Optional<String> hash = hashOf(exchange);
-        CompletableFuture<Optional<Operator>> authenticated = authenticate(hash);
-        return authenticated.thenApply(operator -> {
-            operator.ifPresent(any -> recentTokens.add(hash.orElseThrow(), time.monotonicMillis()));
-            return operator;
-        });
+        return authenticate(hash)
+                .thenApply(
+                        operator -> operator.peek(any -> recentTokens.add(hash.orElseThrow(), time.monotonicMillis())));
     }
 
     /** Whether the token of the request was authenticated recently. */
@@ -58,21 +61,28 @@
                 .map(value -> Tokens.sha256(value.substring(BEARER.length())));
     }
 
-    private CompletableFuture<Optional<Operator>> authenticate(Optional<String> hash) {
+    private CompletableFuture<Either<RefusalReason, Operator>> authenticate(Optional<String> hash) {
         if (hash.isEmpty()) {
-            return CompletableFuture.completedFuture(Optional.empty());
+            return CompletableFuture.completedFuture(Either.left(RefusalReason.UNAUTHORIZED));
         }
         if (rootTokenSha256.filter(root -> Tokens.same(root, hash.get())).isPresent()) {
             return CompletableFuture.completedFuture(
-                    Optional.of(new Operator(ROOT_OPERATOR, Optional.empty(), Operator.Role.ADMINISTRATOR)));
+                    Either.right(new Operator(ROOT_OPERATOR, Optional.empty(), Operator.Role.ADMINISTRATOR)));
         }
         ReadRequest request =
                 ReadRequest.newBuilder().setTokenSha256(hash.get()).build();
-        return control.read(request, READ_TIMEOUT_MILLIS).thenApply(answer -> answer.flatMap(Authorizer::toOperator));
+        return control.read(request, READ_TIMEOUT_MILLIS).thenApply(Authorizer::toOperator);
     }
 
-    private static Optional<Operator> toOperator(ReadAnswer answer) {
-        return answer.getOperatorsList().stream().findFirst().map(Authorizer::toOperator);
+    private static Either<RefusalReason, Operator> toOperator(Optional<ReadAnswer> confirmed) {
+        if (confirmed.isEmpty()) {
+            return Either.left(RefusalReason.NO_QUORUM);
+        }
+        return confirmed.get().getOperatorsList().stream()
+                .findFirst()
+                .map(Authorizer::toOperator)
+                .<Either<RefusalReason, Operator>>map(Either::right)
+                .orElseGet(() -> Either.left(RefusalReason.UNAUTHORIZED));
     }
 
     private static Operator toOperator(PutOperator stored) {
--- a/src/main/java/org/bulrushwheel/server/edge/AttemptListener.java
+++ b/src/main/java/org/bulrushwheel/server/edge/AttemptListener.java
@@ -10,6 +10,8 @@
     /**
      * Called when the connection closed or violated the protocol before the response was complete. The request may have
      * run.
+     *
+     * @param answerBegun whether the endpoint had sent any byte since the request
      */
-    void onConnectionFailure(String reason);
+    void onConnectionFailure(String reason, boolean answerBegun);
 }
--- a/src/main/java/org/bulrushwheel/server/edge/EndpointConnection.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EndpointConnection.java
@@ -39,6 +39,7 @@
     private String requestId = "";
     private boolean reusable = true;
     private boolean mismatchedRequestId;
+    private boolean answerBegun;
     private @Nullable HttpResponse head;
     private @Nullable CompositeByteBuf body;
     private long idleDeadlineMillis;
@@ -59,6 +60,7 @@
 
     void send(CallerRequest request, HttpHeaders headers, AttemptListener attemptListener) {
         listener = attemptListener;
+        answerBegun = false;
         requestId = request.header(headerNames.requestId()).orElse("");
         ByteBuf content = request.body().retainedDuplicate();
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
@@ -101,6 +103,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        answerBegun = true;
         try {
             if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
                 fail("malformed answer");
@@ -203,7 +206,7 @@
         listener = null;
         close();
         if (receiver != null) {
-            receiver.onConnectionFailure(reason);
+            receiver.onConnectionFailure(reason, answerBegun);
         }
     }
 
--- a/src/main/java/org/bulrushwheel/server/edge/EndpointPool.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EndpointPool.java
@@ -43,9 +43,13 @@
         this.time = time;
     }
 
-    /** Passes an open connection to the callback, or (left) the reason for a connect failure; nothing was sent then. */
-    void acquire(Consumer<Either<String, EndpointConnection>> callback) {
-        Optional<EndpointConnection> pooled = takeIdle();
+    /**
+     * Passes an open connection to the callback, or (left) the reason for a connect failure; nothing was sent then.
+     *
+     * @param newConnection whether a connection that has carried a request before must not be used
+     */
+    void acquire(boolean newConnection, Consumer<Either<String, EndpointConnection>> callback) {
+        Optional<EndpointConnection> pooled = newConnection ? Optional.empty() : takeIdle();
         if (pooled.isPresent()) {
             callback.accept(Either.right(pooled.get()));
             return;
--- a/src/main/java/org/bulrushwheel/server/edge/Exchange.java
+++ b/src/main/java/org/bulrushwheel/server/edge/Exchange.java
@@ -48,6 +48,7 @@
     private int sentAttempts;
     private int connectFailures;
     private boolean mayHaveRun;
+    private boolean connectionBroke;
     private boolean finished;
     private boolean callerLeft;
     private @Nullable EndpointConnection currentConnection;
@@ -156,7 +157,8 @@
         triedEndpoints.add(endpoint.id());
         currentEndpoint = endpoint;
         context.chooser().sent(endpoint, query, nowMillis);
-        context.poolOf(endpoint).acquire(acquired -> onConnection(endpoint, acquired));
+        // A second break on a reused connection could not be told from a request that crashes endpoints.
+        context.poolOf(endpoint).acquire(connectionBroke, acquired -> onConnection(endpoint, acquired));
     }
 
     private void onConnection(Endpoint endpoint, Either<String, EndpointConnection> acquired) {
@@ -201,8 +203,8 @@
             }
 
             @Override
-            public void onConnectionFailure(String reason) {
-                onAttemptFailed(endpoint, reason);
+            public void onConnectionFailure(String reason, boolean answerBegun) {
+                onAttemptFailed(endpoint, reason, !answerBegun);
             }
         });
     }
@@ -226,7 +228,7 @@
         }
         if (context.answerReader().isUnsigned(answer)) {
             answer.body().release();
-            onAttemptFailed(endpoint, "answer without signature");
+            onAttemptFailed(endpoint, "answer without signature", false);
             return;
         }
         context.onRequestAnswered(request);
@@ -245,7 +247,7 @@
         finish(answer, ANSWERED);
     }
 
-    private void onAttemptFailed(Endpoint endpoint, String reason) {
+    private void onAttemptFailed(Endpoint endpoint, String reason, boolean mayHaveCrashed) {
         if (currentConnection != null) {
             endAttempt(endpoint);
         }
@@ -255,7 +257,10 @@
         mayHaveRun = true;
         trail.attemptFailed(endpoint, "broken");
         context.suspend(endpoint, reason);
-        context.onEndpointCrash(request, endpoint);
+        connectionBroke = true;
+        if (mayHaveCrashed) {
+            context.onEndpointCrash(request, endpoint);
+        }
         if (isRepeatable() && context.isPoison(request)) {
             giveUp("poison");
         } else if (isRepeatable()) {
--- a/src/main/java/org/bulrushwheel/server/gateway/GatewayExchange.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/GatewayExchange.java
@@ -363,7 +363,11 @@
     }
 
     private boolean hasAttemptInFlight() {
-        return startedAttempts.stream().anyMatch(attempt -> !attempt.finished);
+        return attemptsInFlight() > 0;
+    }
+
+    private long attemptsInFlight() {
+        return startedAttempts.stream().filter(attempt -> !attempt.finished).count();
     }
 
     private void startTimer(Attempt attempt) {
@@ -399,8 +403,7 @@
             return;
         }
         startTimer(attempt);
-        boolean possiblySilent =
-                attempt.reusedConnection && request.route().idempotent() && startedAttempts.size() == 1;
+        boolean possiblySilent = attempt.reusedConnection && request.route().idempotent() && attemptsInFlight() == 1;
         if (possiblySilent && mayRetry()) {
             services.metrics().counter("gateway.retries.silent").inc();
             attempt();
--- a/src/main/java/org/bulrushwheel/server/gateway/UpstreamConnections.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/UpstreamConnections.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.codahale.metrics.MetricRegistry;
 import io.undertow.UndertowOptions;
@@ -86,16 +87,25 @@
 
     /** Returns a connection to the pool after a complete response, or closes it if it must not be reused. */
     void returnToPool(PooledConnection connection, XnioIoThread thread) {
-        Deque<IdleConnection> idle =
-                idleByPool.computeIfAbsent(new PoolKey(connection.address(), thread), key -> new ArrayDeque<>());
         boolean reusable = connection.connection().isOpen() && !isSuspect(connection);
-        synchronized (idle) {
-            if (reusable && idle.size() < MAX_IDLE_PER_ENDPOINT) {
-                idle.push(new IdleConnection(connection.afterUse(), time.monotonicMillis()));
-                return;
-            }
+        if (!reusable || !tryAddIdle(new PoolKey(connection.address(), thread), connection.afterUse())) {
+            IoUtils.safeClose(connection.connection());
         }
-        IoUtils.safeClose(connection.connection());
+    }
+
+    private boolean tryAddIdle(PoolKey key, PooledConnection connection) {
+        AtomicBoolean added = new AtomicBoolean();
+        idleByPool.compute(key, (pool, present) -> {
+            Deque<IdleConnection> idle = present == null ? new ArrayDeque<>() : present;
+            synchronized (idle) {
+                if (idle.size() < MAX_IDLE_PER_ENDPOINT) {
+                    idle.push(new IdleConnection(connection, time.monotonicMillis()));
+                    added.set(true);
+                }
+            }
+            return idle;
+        });
+        return added.get();
     }
 
     /**
@@ -127,7 +137,14 @@
         });
         long expiredBeforeMillis = nowMillis - TimeUnit.MINUTES.toMillis(10);
         lastSilenceMillisByAddress.values().removeIf(millis -> millis < expiredBeforeMillis);
-        idleByPool.values().removeIf(Deque::isEmpty);
+        // Holding the map entry keeps a connection from being returned to a pool that is just dropped.
+        idleByPool
+                .keySet()
+                .forEach(key -> idleByPool.computeIfPresent(key, (present, idle) -> {
+                    synchronized (idle) {
+                        return idle.isEmpty() ? null : idle;
+                    }
+                }));
     }
 
     private PooledConnection pollIdle(PoolKey key) {
--- a/src/main/java/org/bulrushwheel/wire/FrameCodec.java
+++ b/src/main/java/org/bulrushwheel/wire/FrameCodec.java
@@ -31,7 +31,7 @@
  * <p>Thread safe: the handlers of a channel run on its event loop.
  */
 final class FrameCodec extends ChannelInitializer<SocketChannel> {
-    private static final int LENGTH_FIELD_BYTES = 4;
+    static final int LENGTH_FIELD_BYTES = 4;
     private static final long WRITE_IDLE_MILLIS = 500;
     private static final long READ_IDLE_MILLIS = 2_000;
 
--- a/src/main/java/org/bulrushwheel/wire/PeerNetwork.java
+++ b/src/main/java/org/bulrushwheel/wire/PeerNetwork.java
@@ -1,6 +1,7 @@
 package org.bulrushwheel.wire;
 
 import java.util.EnumMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -35,6 +36,7 @@
     /** Name under which this service is registered in the kernel. */
     public static final String NAME = "peers";
 
+    private static final String SENT_BYTES_PREFIX = "peers.bytes.sent.";
     private static final int MAX_FRAME_BYTES = 64 * 1024 * 1024;
     private static final int EVENT_LOOP_THREADS = 2;
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
@@ -118,7 +120,10 @@
     public void send(String peer, Frame.Builder frame) {
         Frame complete = frame.setSender(self).build();
         metrics.meter("peers.frames.sent").mark();
-        metrics.meter("peers.bytes.sent").mark(complete.getSerializedSize());
+        long bytes = FrameCodec.LENGTH_FIELD_BYTES + complete.getSerializedSize();
+        metrics.meter("peers.bytes.sent").mark(bytes);
+        metrics.meter(SENT_BYTES_PREFIX + complete.getBodyCase().name().toLowerCase(Locale.ROOT))
+                .mark(bytes);
         deliver(peer, complete);
     }
 
--- a/src/test/java/org/bulrushwheel/logic/placement/RegionSpillTest.java
+++ b/src/test/java/org/bulrushwheel/logic/placement/RegionSpillTest.java
@@ -78,4 +78,11 @@
         assertFalse(spill.isDue(RegionSpill.STEP_MILLIS - 1));
         assertTrue(spill.isDue(RegionSpill.STEP_MILLIS));
     }
+
+    @Test
+    void regionThatWasGoneStartsWithoutSpill() {
+        step(10, 1.5, 0.5);
+        spill.step(Map.of("b", 0.5), nowMillis);
+        assertEquals(0, spilledFraction());
+    }
 }
--- a/src/test/java/org/bulrushwheel/logic/retry/PoisonRegistryTest.java
+++ b/src/test/java/org/bulrushwheel/logic/retry/PoisonRegistryTest.java
@@ -35,4 +35,13 @@
         assertFalse(registry.isPoison("f", 2));
         assertEquals(java.util.Optional.empty(), registry.onAnswer("f"));
     }
+
+    @Test
+    void crashesLongAfterTheFirstDoNotCountWithIt() {
+        registry.onCrash("f", "e1", 0);
+        registry.onCrash("f", "e2", 10 * 60_000 + 1);
+        assertFalse(registry.isPoison("f", 10 * 60_000 + 2));
+        registry.onCrash("f", "e3", 10 * 60_000 + 3);
+        assertTrue(registry.isPoison("f", 10 * 60_000 + 4));
+    }
 }
--- a/src/test/java/org/bulrushwheel/server/admin/AdminHandlerTest.java
+++ b/src/test/java/org/bulrushwheel/server/admin/AdminHandlerTest.java
@@ -64,6 +64,15 @@
         assertEquals(reason, answer.header("Bulrushwheel-Refusal").orElse(""), answer.text());
     }
 
+    @ParameterizedTest
+    @CsvSource({"''", "1234", "NOT-HEX"})
+    void operatorWithMalformedTokenHashIsRefusedAsMalformed(String hash) {
+        String document = "{\"name\": \"x\", \"team\": \"desk\", \"role\": \"EDITOR\""
+                + (hash.isEmpty() ? "" : ", \"tokenSha256\": \"" + hash + "\"") + "}";
+        HttpAnswer answer = call("POST", "/v1/admin/operators", deployment.token(), Map.of(), document);
+        assertEquals("malformed-request", answer.header("Bulrushwheel-Refusal").orElse(""), answer.text());
+    }
+
     /**
      * Sends more calls than unauthenticated callers may make in a second, as an operator's tool does in a break between
      * shifts.
--- a/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
@@ -5,7 +5,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -385,4 +387,42 @@
             assertEquals(-1, caller.getInputStream().read());
         }
     }
+
+    private static String garbled(ScriptedEndpoint.Received request) {
+        return "HTTP/1.1 200 OK\r\nBulrushwheel-Request-Id: " + request.header("Bulrushwheel-Request-Id")
+                + "\r\nContent-Length: 10\r\n\r\nhalf";
+    }
+
+    @Test
+    void requestWithBrokenAnswersIsNotTakenForOneThatCrashesEndpoints() throws IOException {
+        AtomicInteger count = new AtomicInteger();
+        serve(2, (request, connection) -> {
+            if (count.getAndIncrement() < 2) {
+                connection.send(garbled(request));
+                connection.socket().close();
+            } else {
+                connection.send(ScriptedEndpoint.ok(request, "whole"));
+            }
+        });
+        assertTrue(edge.call("/read/x", "a1").startsWith("HTTP/1.1 502"));
+        assertTrue(edge.call("/read/x", "a2").endsWith("whole"));
+    }
+
+    @Test
+    void requestThatMeetsForgottenConnectionIsRetriedOnNewOne() throws IOException {
+        Set<Socket> used = ConcurrentHashMap.newKeySet();
+        AtomicInteger count = new AtomicInteger();
+        serve(2, (request, connection) -> {
+            if (!used.add(connection.socket())) {
+                connection.reset();
+            } else if (count.getAndIncrement() == 0) {
+                connection.send(ScriptedEndpoint.notExecuted());
+            } else {
+                connection.send(ScriptedEndpoint.ok(request, "whole"));
+            }
+        });
+        // Leaves an idle connection to each endpoint.
+        assertTrue(edge.call("/read/x", "a1").endsWith("whole"));
+        assertTrue(edge.call("/read/x", "a2").endsWith("whole"));
+    }
 }
--- a/src/test/java/org/bulrushwheel/server/fleet/LocalFleetTest.java
+++ b/src/test/java/org/bulrushwheel/server/fleet/LocalFleetTest.java
@@ -173,6 +173,13 @@
                                 .status()
                         == 200);
         assertEquals(400, put(1, path, "{\"service\": 5").status());
+        assertEquals(400, put(1, path, record.formatted("nowhere", "false", 3)).status());
+        assertEquals(400, put(1, path, "{\"service\": \"desk\", \"slots\": 3}").status());
+        assertEquals(405, http.get(fleet.controlAddress(1), path).status());
+        assertEquals(
+                405,
+                http.get(fleet.controlAddress(1), DefaultInterfaces.EVACUATIONS + "a1")
+                        .status());
         eventually("a leave was not acknowledged", () -> delete(1, path) == 200);
         eventually("a repeated leave was not acknowledged", () -> delete(2, path) == 200);
     }
