Send configurations as acknowledged differences, one update at a time

An entry instance names the version that it has and receives the difference from it; Subscriber allows one update with changes on its way, coalesces later ones behind it, and doubles the time until a resend. ReplaceTraffic carries the difference from the document that the proposer has applied; BASE_CHANGED makes it send the whole one. A read leaves out a document that the reader has; a version that is committed already is acknowledged without an entry.

--- a/src/main/java/org/bulrushwheel/control/ControlService.java
+++ b/src/main/java/org/bulrushwheel/control/ControlService.java
@@ -37,6 +37,7 @@
 import org.bulrushwheel.model.proto.ReadAnswer;
 import org.bulrushwheel.model.proto.ReadRequest;
 import org.bulrushwheel.model.proto.SnapshotFile;
+import org.bulrushwheel.model.proto.TrafficDocument;
 import org.bulrushwheel.model.proto.Voters;
 import org.bulrushwheel.model.settings.Settings;
 import org.bulrushwheel.storage.ReplicaStorage;
@@ -325,7 +326,9 @@
             answer.addAllHistory(state.history());
         }
         if (request.getTraffic()) {
-            answer.setTraffic(state.fleet().traffic());
+            TrafficDocument newest = state.fleet().traffic();
+            boolean isKnown = newest.getVersion() == request.getHaveTrafficVersion();
+            answer.setTraffic(isKnown ? newest.toBuilder().clearDocument().build() : newest);
         }
         return answer.build();
     }
--- a/src/main/java/org/bulrushwheel/daemon/FleetControlDaemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/FleetControlDaemon.java
@@ -94,7 +94,7 @@
         kernel.register(new FleetPublisher(place(), control, directory, peers, time, metrics));
         kernel.register(new LoadRelay(directory, () -> otherControlInstances(control), peers, time, metrics));
         FleetServices services = new ControlServices(
-                new FleetAdministration(client, interfaces.trafficCodec(), decisions),
+                administration(control, client, interfaces, decisions),
                 registry,
                 directory,
                 settings.bounds().lookupValidSeconds());
@@ -139,6 +139,15 @@
         kernel.stop(System.nanoTime());
     }
 
+    private static FleetAdministration administration(
+            ControlService control, ControlClient client, FleetInterfaces interfaces, DecisionLog decisions) {
+        return new FleetAdministration(
+                client,
+                () -> control.readLocal(state -> state.fleet().traffic()),
+                interfaces.trafficCodec(),
+                decisions);
+    }
+
     private ReplicaPlace place() {
         return ReplicaPlace.newBuilder()
                 .setPeerAddress(settings.peerAddress())
--- a/src/main/java/org/bulrushwheel/logic/fleet/FleetState.java
+++ b/src/main/java/org/bulrushwheel/logic/fleet/FleetState.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import com.google.protobuf.ByteString;
 import org.bulrushwheel.model.proto.CommandResult;
 import org.bulrushwheel.model.proto.EndpointLeave;
 import org.bulrushwheel.model.proto.EndpointRecord;
@@ -33,18 +34,42 @@
     private long revision;
     private long forgottenRevision;
 
-    /** Replaces the traffic configuration if the new version is higher; otherwise does nothing. */
+    /**
+     * Replaces the traffic configuration if the new version is higher; otherwise does nothing. The result is
+     * BASE_CHANGED if the change is the difference from another document than the one in force.
+     */
     public CommandResult replaceTraffic(ReplaceTraffic change) {
-        if (change.getVersion() > traffic.getVersion()) {
-            traffic = TrafficDocument.newBuilder()
-                    .setVersion(change.getVersion())
-                    .setDocument(change.getDocument())
-                    .setRevision(++revision)
+        if (change.getVersion() <= traffic.getVersion()) {
+            return done();
+        }
+        Optional<ByteString> document = documentOf(change);
+        if (document.isEmpty()) {
+            return CommandResult.newBuilder()
+                    .setKind(CommandResult.Kind.BASE_CHANGED)
+                    .setVersion(traffic.getVersion())
                     .build();
         }
+        traffic = TrafficDocument.newBuilder()
+                .setVersion(change.getVersion())
+                .setDocument(document.get())
+                .setRevision(++revision)
+                .build();
         return done();
     }
 
+    private Optional<ByteString> documentOf(ReplaceTraffic change) {
+        if (!change.hasDelta()) {
+            return Optional.of(change.getDocument());
+        }
+        long baseVersion = change.getDelta().getBaseVersion();
+        if (baseVersion == DocumentDeltas.NO_BASE) {
+            return DocumentDeltas.apply(ByteString.EMPTY, change.getDelta());
+        }
+        return baseVersion == traffic.getVersion()
+                ? DocumentDeltas.apply(traffic.getDocument(), change.getDelta())
+                : Optional.empty();
+    }
+
     /** Starts or ends the evacuation of a zone. */
     public CommandResult setEvacuation(SetEvacuation change) {
         ZoneEvacuation current = evacuations.get(change.getZone());
--- a/src/main/java/org/bulrushwheel/logic/fleet/FleetView.java
+++ b/src/main/java/org/bulrushwheel/logic/fleet/FleetView.java
@@ -8,8 +8,10 @@
 import java.util.Optional;
 import java.util.Set;
 
+import com.google.protobuf.ByteString;
 import org.bulrushwheel.model.proto.EndpointRecord;
 import org.bulrushwheel.model.proto.FleetUpdate;
+import org.bulrushwheel.model.proto.TrafficDocument;
 import org.bulrushwheel.model.proto.ZoneEvacuation;
 import org.bulrushwheel.model.traffic.Endpoint;
 import org.bulrushwheel.model.traffic.ServicePolicy;
@@ -25,6 +27,7 @@
 public final class FleetView {
     private final long revision;
     private final Optional<TrafficConfiguration> traffic;
+    private final ByteString trafficDocument;
     private final Optional<RouteTable> routes;
     private final Map<String, Endpoint> endpoints;
     private final Set<String> evacuatedZones;
@@ -35,12 +38,14 @@
     private FleetView(
             long revision,
             Optional<TrafficConfiguration> traffic,
+            ByteString trafficDocument,
             Optional<RouteTable> routes,
             Map<String, Endpoint> endpoints,
             Set<String> evacuatedZones,
             int entryInstances) {
         this.revision = revision;
         this.traffic = traffic;
+        this.trafficDocument = trafficDocument;
         this.routes = routes;
         this.endpoints = endpoints;
         this.evacuatedZones = evacuatedZones;
@@ -59,11 +64,12 @@
 
     /** The view of an instance that has not received any update. */
     public static FleetView empty() {
-        return new FleetView(0, Optional.empty(), Optional.empty(), Map.of(), Set.of(), 1);
+        return new FleetView(0, Optional.empty(), ByteString.EMPTY, Optional.empty(), Map.of(), Set.of(), 1);
     }
 
     /**
-     * Returns the view after an update, or this view when the update is outdated or leaves a gap in the revisions.
+     * Returns the view after an update, or this view when the update is outdated, leaves a gap in the revisions or is
+     * the difference from another traffic document.
      *
      * @param update changes from a control instance
      * @param codec parser of the traffic configuration
@@ -77,11 +83,19 @@
         if (!changes) {
             return nextEntryInstances == entryInstances
                     ? this
-                    : new FleetView(revision, traffic, routes, endpoints, evacuatedZones, nextEntryInstances);
+                    : new FleetView(
+                            revision, traffic, trafficDocument, routes, endpoints, evacuatedZones, nextEntryInstances);
+        }
+        boolean hasNewerTraffic = update.getHasTraffic() && update.getTraffic().getVersion() > trafficVersion();
+        Optional<ByteString> document =
+                hasNewerTraffic ? documentOf(update.getTraffic()) : Optional.of(trafficDocument);
+        if (document.isEmpty()) {
+            return this;
         }
         boolean isFullUpdate = update.getFromRevision() == 0;
-        Optional<TrafficConfiguration> nextTraffic = update.getHasTraffic() ? newerTraffic(update, codec) : traffic;
-        Optional<RouteTable> nextRoutes = nextTraffic.equals(traffic) ? routes : nextTraffic.map(RouteTable::new);
+        Optional<TrafficConfiguration> nextTraffic =
+                hasNewerTraffic ? Optional.of(parse(document.get(), codec)) : traffic;
+        Optional<RouteTable> nextRoutes = hasNewerTraffic ? nextTraffic.map(RouteTable::new) : routes;
         Map<String, Endpoint> nextEndpoints = new HashMap<>(isFullUpdate ? Map.of() : endpoints);
         for (EndpointRecord record : update.getEndpointsList()) {
             if (record.getState() == EndpointRecord.State.READY) {
@@ -101,7 +115,13 @@
         }
         markCold(nextEndpoints, restoredZones, nextTraffic, nowMillis);
         return new FleetView(
-                update.getRevision(), nextTraffic, nextRoutes, nextEndpoints, nextEvacuated, nextEntryInstances);
+                update.getRevision(),
+                nextTraffic,
+                document.get(),
+                nextRoutes,
+                nextEndpoints,
+                nextEvacuated,
+                nextEntryInstances);
     }
 
     public long revision() {
@@ -154,13 +174,23 @@
         return evacuatedZones;
     }
 
-    private Optional<TrafficConfiguration> newerTraffic(FleetUpdate update, TrafficDocumentCodec codec) {
-        if (update.getTraffic().getVersion() <= trafficVersion()) {
-            return traffic;
+    private Optional<ByteString> documentOf(TrafficDocument update) {
+        if (!update.hasDelta()) {
+            return Optional.of(update.getDocument());
+        }
+        long baseVersion = update.getDelta().getBaseVersion();
+        if (baseVersion == DocumentDeltas.NO_BASE) {
+            return DocumentDeltas.apply(ByteString.EMPTY, update.getDelta());
         }
-        return Optional.of(codec.read(update.getTraffic().getDocument().toByteArray())
+        return baseVersion == trafficVersion()
+                ? DocumentDeltas.apply(trafficDocument, update.getDelta())
+                : Optional.empty();
+    }
+
+    private static TrafficConfiguration parse(ByteString document, TrafficDocumentCodec codec) {
+        return codec.read(document.toByteArray())
                 .getOrElseThrow(faults -> new IllegalStateException("the accepted traffic configuration can't be read: "
-                        + faults + "; run the release that accepted it")));
+                        + faults + "; run the release that accepted it"));
     }
 
     private static Endpoint endpointOf(EndpointRecord record, Map<String, String> regionsByZone, long nowMillis) {
--- /dev/null
+++ b/src/main/java/org/bulrushwheel/logic/fleet/Subscriber.java
@@ -0,0 +1,75 @@
+package org.bulrushwheel.logic.fleet;
+
+import org.bulrushwheel.model.proto.FleetHello;
+
+/**
+ * What a control instance knows of an entry instance that receives the changes of the fleet from it.
+ *
+ * <p>Invariant: changes may be sent only while none are on their way, or when the previous ones have not been
+ * acknowledged for so long that they count as lost; that time doubles with each loss, so that a full link is not filled
+ * with copies. Not thread safe.
+ */
+public final class Subscriber {
+    // Until the next hello of an instance that is stopped, its changes still reach it.
+    private static final long VALID_MILLIS = 2_000;
+    private static final long FIRST_RESEND_MILLIS = 1_000;
+    private static final int MAX_RESEND_DOUBLINGS = 2;
+
+    private final String peer;
+    private long incarnation = -1;
+    private long revision;
+    private long trafficVersion;
+    private long sentRevision;
+    private long resendAtMillis;
+    private int lostUpdates;
+    private long deadlineMillis;
+
+    /** Creates a subscriber that has not reported yet. */
+    public Subscriber(String peer) {
+        this.peer = peer;
+    }
+
+    /** Records a hello, which also acknowledges the changes up to the revision that it names. */
+    public void onHello(FleetHello hello, long nowMillis) {
+        boolean isRestarted = hello.getEntry().getIncarnation() != incarnation;
+        incarnation = hello.getEntry().getIncarnation();
+        revision = hello.getHaveRevision();
+        trafficVersion = hello.getHaveTrafficVersion();
+        deadlineMillis = nowMillis + VALID_MILLIS;
+        if (isRestarted || revision >= sentRevision) {
+            sentRevision = revision;
+            lostUpdates = 0;
+        }
+    }
+
+    /** Records that changes up to a revision are sent. */
+    public void onChangesSent(long newRevision, long nowMillis) {
+        lostUpdates = sentRevision > revision ? Math.min(lostUpdates + 1, MAX_RESEND_DOUBLINGS) : 0;
+        sentRevision = newRevision;
+        resendAtMillis = nowMillis + (FIRST_RESEND_MILLIS << lostUpdates);
+    }
+
+    /** Whether no changes are on their way, as far as that is known. */
+    public boolean mayReceiveChanges(long nowMillis) {
+        return sentRevision <= revision || nowMillis >= resendAtMillis;
+    }
+
+    /** Whether the instance has not reported for so long that it counts as gone. */
+    public boolean isExpired(long nowMillis) {
+        return deadlineMillis < nowMillis;
+    }
+
+    public String peer() {
+        return peer;
+    }
+
+    /** Returns the revision that the instance has acknowledged. */
+    public long revision() {
+        return revision;
+    }
+
+    /** Returns the version of the traffic configuration that the instance has acknowledged, 0 if none. */
+    public long trafficVersion() {
+        return trafficVersion;
+    }
+}
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetAdministration.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetAdministration.java
@@ -4,10 +4,12 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
 
 import com.google.protobuf.ByteString;
 import io.vavr.control.Either;
 import org.bulrushwheel.control.ControlClient;
+import org.bulrushwheel.logic.fleet.DocumentDeltas;
 import org.bulrushwheel.logic.fleet.TrafficChecker;
 import org.bulrushwheel.model.decision.Decision;
 import org.bulrushwheel.model.decision.DecisionField;
@@ -15,6 +17,7 @@
 import org.bulrushwheel.model.decision.DecisionSink;
 import org.bulrushwheel.model.proto.Command;
 import org.bulrushwheel.model.proto.CommandResult;
+import org.bulrushwheel.model.proto.DocumentDelta;
 import org.bulrushwheel.model.proto.ReadAnswer;
 import org.bulrushwheel.model.proto.ReadRequest;
 import org.bulrushwheel.model.proto.ReplaceTraffic;
@@ -45,12 +48,23 @@
     private static final long READ_TIMEOUT_MILLIS = 900;
 
     private final ControlClient client;
+    private final Supplier<CompletableFuture<TrafficDocument>> applied;
     private final TrafficDocumentCodec codec;
     private final DecisionSink decisions;
 
-    /** Creates the administration; commands are sent to the current leader of the control replicas. */
-    public FleetAdministration(ControlClient client, TrafficDocumentCodec codec, DecisionSink decisions) {
+    /**
+     * Creates the administration.
+     *
+     * @param client sends commands to the current leader of the control replicas
+     * @param applied reads the traffic document that the local replica has applied, which may be stale
+     */
+    public FleetAdministration(
+            ControlClient client,
+            Supplier<CompletableFuture<TrafficDocument>> applied,
+            TrafficDocumentCodec codec,
+            DecisionSink decisions) {
         this.decisions = decisions;
+        this.applied = applied;
         this.client = client;
         this.codec = codec;
     }
@@ -64,10 +78,31 @@
             return CompletableFuture.completedFuture(Outcome.INVALID);
         }
         long version = parsed.get().version();
-        Command.Builder command = Command.newBuilder()
+        Decision versioned = decision.with(DecisionField.CONFIGURATION_VERSION, version);
+        ByteString content = ByteString.copyFrom(document);
+        return applied.get().thenCompose(base -> replaceTraffic(version, content, base, versioned));
+    }
+
+    private CompletionStage<Outcome> replaceTraffic(
+            long version, ByteString content, TrafficDocument base, Decision decision) {
+        if (base.getVersion() >= version) {
+            // Committed already, or overtaken by a committed version.
+            record(decision, Outcome.ACCEPTED);
+            return CompletableFuture.completedFuture(Outcome.ACCEPTED);
+        }
+        DocumentDelta delta = DocumentDeltas.between(base.getVersion(), base.getDocument(), content);
+        return client.propose(replacement(version, delta), COMMAND_TIMEOUT_MILLIS)
+                .thenCompose(result -> result.getKind() == CommandResult.Kind.BASE_CHANGED
+                        ? client.propose(replacement(version, DocumentDeltas.whole(content)), COMMAND_TIMEOUT_MILLIS)
+                        : CompletableFuture.completedFuture(result))
+                .thenApply(result -> outcomeOf(result, decision));
+    }
+
+    private static Command replacement(long version, DocumentDelta delta) {
+        return Command.newBuilder()
                 .setReplaceTraffic(
-                        ReplaceTraffic.newBuilder().setVersion(version).setDocument(ByteString.copyFrom(document)));
-        return propose(command, decision.with(DecisionField.CONFIGURATION_VERSION, version));
+                        ReplaceTraffic.newBuilder().setVersion(version).setDelta(delta))
+                .build();
     }
 
     /** Starts or ends the evacuation of a zone. */
@@ -86,16 +121,26 @@
      * confirm it.
      */
     public CompletionStage<Optional<TrafficDocument>> readTraffic() {
-        return client.read(ReadRequest.newBuilder().setTraffic(true).build(), READ_TIMEOUT_MILLIS)
-                .thenApply(answer -> answer.map(ReadAnswer::getTraffic));
+        return applied.get().thenCompose(this::readTraffic);
+    }
+
+    private CompletionStage<Optional<TrafficDocument>> readTraffic(TrafficDocument base) {
+        ReadRequest request = ReadRequest.newBuilder()
+                .setTraffic(true)
+                .setHaveTrafficVersion(base.getVersion())
+                .build();
+        return client.read(request, READ_TIMEOUT_MILLIS).thenApply(answer -> answer.map(ReadAnswer::getTraffic)
+                .map(newest -> newest.getVersion() == base.getVersion() ? base : newest));
     }
 
     private CompletionStage<Outcome> propose(Command.Builder command, Decision decision) {
-        return client.propose(command.build(), COMMAND_TIMEOUT_MILLIS).thenApply(result -> {
-            Outcome outcome = result.getKind() == CommandResult.Kind.DONE ? Outcome.ACCEPTED : Outcome.UNKNOWN;
-            record(decision, outcome);
-            return outcome;
-        });
+        return client.propose(command.build(), COMMAND_TIMEOUT_MILLIS).thenApply(result -> outcomeOf(result, decision));
+    }
+
+    private Outcome outcomeOf(CommandResult result, Decision decision) {
+        Outcome outcome = result.getKind() == CommandResult.Kind.DONE ? Outcome.ACCEPTED : Outcome.UNKNOWN;
+        record(decision, outcome);
+        return outcome;
     }
 
     private void record(Decision decision, Outcome outcome) {
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
@@ -10,6 +10,8 @@
 import org.bulrushwheel.kernel.KernelService;
 import org.bulrushwheel.kernel.ServiceTimer;
 import org.bulrushwheel.logic.fleet.FleetState;
+import org.bulrushwheel.logic.fleet.Subscriber;
+import org.bulrushwheel.logic.fleet.TrafficHistory;
 import org.bulrushwheel.logic.raft.ReplicaId;
 import org.bulrushwheel.logic.time.TimeSource;
 import org.bulrushwheel.model.proto.EntrySummary;
@@ -24,7 +26,8 @@
  * Sends changes of the fleet state to the subscribed entry instances, and sends other control instances a summary of
  * the entry instances that report to this one.
  *
- * <p>Invariant: only committed state is sent. Thread safe: subscribers are accessed on the control thread.
+ * <p>Invariants: only committed state is sent; a subscriber has at most one update with changes on its way, and later
+ * changes are coalesced into the next. Thread safe: subscribers are accessed on the control thread.
  */
 public final class FleetPublisher implements KernelService {
     /** Name of the service in the kernel. */
@@ -32,8 +35,6 @@
 
     private static final long SUMMARY_INTERVAL_MILLIS = 500;
 
-    private record Subscriber(long sentRevision, long deadlineMillis) {}
-
     private final ReplicaPlaces replicaPlaces;
     private final ControlService control;
     private final EntryDirectory directory;
@@ -41,6 +42,7 @@
     private final TimeSource time;
     private final ServiceTimer timer;
     private final Map<String, Subscriber> subscribers = new HashMap<>();
+    private final TrafficHistory trafficHistory = new TrafficHistory();
 
     /** Creates the publisher of a control instance and registers its message handlers. */
     public FleetPublisher(
@@ -85,34 +87,51 @@
         if (leaving) {
             sendSummary();
         }
-        control.execute(state -> {
-            String peer = hello.getEntry().getPeerAddress();
-            subscribers.put(
-                    peer,
-                    new Subscriber(hello.getHaveRevision(), time.monotonicMillis() + EntryDirectory.VALID_MILLIS));
-            send(peer, state.fleet());
-        });
+        control.execute(state -> onHello(hello, state.fleet()));
+    }
+
+    private void onHello(FleetHello hello, FleetState fleet) {
+        long nowMillis = time.monotonicMillis();
+        Subscriber subscriber = subscribers.computeIfAbsent(hello.getEntry().getPeerAddress(), Subscriber::new);
+        subscriber.onHello(hello, nowMillis);
+        boolean hasChanges = subscriber.mayReceiveChanges(nowMillis) && fleet.revision() > subscriber.revision();
+        if (hasChanges) {
+            sendChanges(subscriber, fleet, nowMillis);
+        } else if (!hello.getAcknowledgement()) {
+            send(
+                    subscriber,
+                    FleetUpdate.newBuilder()
+                            .setFromRevision(subscriber.revision())
+                            .setRevision(subscriber.revision()));
+        }
     }
 
     private void publish(FleetState fleet) {
+        trafficHistory.add(fleet.traffic());
         long nowMillis = time.monotonicMillis();
-        subscribers.values().removeIf(subscriber -> subscriber.deadlineMillis() < nowMillis);
-        subscribers.keySet().forEach(peer -> send(peer, fleet));
+        subscribers.values().removeIf(subscriber -> subscriber.isExpired(nowMillis));
+        subscribers.values().stream()
+                .filter(subscriber -> subscriber.mayReceiveChanges(nowMillis))
+                .forEach(subscriber -> sendChanges(subscriber, fleet, nowMillis));
+    }
+
+    private void sendChanges(Subscriber subscriber, FleetState fleet, long nowMillis) {
+        FleetUpdate.Builder update = fleet.changesSince(subscriber.revision()).toBuilder();
+        if (update.getHasTraffic()) {
+            update.setTraffic(trafficHistory.encode(update.getTraffic(), subscriber.trafficVersion()));
+        }
+        subscriber.onChangesSent(fleet.revision(), nowMillis);
+        send(subscriber, update);
     }
 
-    private void send(String peer, FleetState fleet) {
-        Subscriber subscriber = subscribers.get(peer);
+    private void send(Subscriber subscriber, FleetUpdate.Builder update) {
         ReplicaStatus status = control.status();
-        FleetUpdate.Builder update = fleet.changesSince(subscriber.sentRevision()).toBuilder()
-                .setCurrent(status.hearsLeader())
+        update.setCurrent(status.hearsLeader())
                 .setEntryInstances(directory.serving().size());
         status.voters()
                 .forEach(voter -> update.addReplicas(
                         replicaPlaces.of(ReplicaId.parse(voter).instance())));
-        peers.send(peer, Frame.newBuilder().setFleetUpdate(update));
-        // The next hello states which revision the subscriber really has; until then, changes are not sent to it a
-        // second time.
-        subscribers.put(peer, new Subscriber(fleet.revision(), subscriber.deadlineMillis()));
+        peers.send(subscriber.peer(), Frame.newBuilder().setFleetUpdate(update));
     }
 
     /**
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetSubscription.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetSubscription.java
@@ -170,7 +170,7 @@
     @Override
     public void drain(long deadlineNanos) {
         leaving = true;
-        loop.execute(this::sendHello);
+        loop.execute(() -> sendHello(false));
     }
 
     @Override
@@ -189,7 +189,7 @@
         } else if (nearerAvailable) {
             switchSource(nowMillis, "");
         }
-        sendHello();
+        sendHello(false);
     }
 
     /**
@@ -215,7 +215,7 @@
         sourceSwitchedMillis = nowMillis;
     }
 
-    private void sendHello() {
+    private void sendHello(boolean acknowledgement) {
         if (source.isEmpty()) {
             return;
         }
@@ -224,7 +224,11 @@
         peers.send(
                 source,
                 Frame.newBuilder()
-                        .setFleetHello(FleetHello.newBuilder().setEntry(entry).setHaveRevision(view.revision())));
+                        .setFleetHello(FleetHello.newBuilder()
+                                .setEntry(entry)
+                                .setHaveRevision(view.revision())
+                                .setHaveTrafficVersion(view.trafficVersion())
+                                .setAcknowledgement(acknowledgement)));
     }
 
     private void onUpdate(String sender, FleetUpdate update) {
@@ -250,9 +254,13 @@
             return;
         }
         recordChange(next);
+        boolean isNewRevision = next.revision() != view.revision();
         view = next;
         ready = next.traffic().isPresent();
         listeners.forEach(listener -> listener.accept(next));
+        if (isNewRevision && sender.equals(source)) {
+            sendHello(true);
+        }
     }
 
     private void recordChange(FleetView next) {
--- a/src/test/java/org/bulrushwheel/logic/fleet/FleetStateTest.java
+++ b/src/test/java/org/bulrushwheel/logic/fleet/FleetStateTest.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import com.google.protobuf.ByteString;
+import org.bulrushwheel.model.proto.CommandResult;
 import org.bulrushwheel.model.proto.EndpointLeave;
 import org.bulrushwheel.model.proto.EndpointRecord;
 import org.bulrushwheel.model.proto.EndpointRecord.State;
@@ -151,4 +152,44 @@
         assertFalse(EndpointRecords.isNewer(
                 endpoint("e", 5, 3, State.SILENT), Optional.of(endpoint("e", 5, 4, State.READY))));
     }
+
+    private static ByteString document(long version) {
+        return ByteString.copyFromUtf8("[\"route\"],[\"" + version + "\"]");
+    }
+
+    private CommandResult.Kind replaceByDelta(long version, long baseVersion) {
+        ByteString base = baseVersion == 0 ? ByteString.EMPTY : document(baseVersion);
+        return state.replaceTraffic(ReplaceTraffic.newBuilder()
+                        .setVersion(version)
+                        .setDelta(DocumentDeltas.between(baseVersion, base, document(version)))
+                        .build())
+                .getKind();
+    }
+
+    @Test
+    void differenceFromTheDocumentInForceIsApplied() {
+        assertEquals(CommandResult.Kind.DONE, replaceByDelta(3, 0));
+        assertEquals(CommandResult.Kind.DONE, replaceByDelta(7, 3));
+        assertEquals(document(7), state.traffic().getDocument());
+    }
+
+    /** Two operators race: the second change was made from a document that the first has replaced. */
+    @Test
+    void differenceFromAnotherDocumentChangesNothing() {
+        replaceByDelta(3, 0);
+        replaceByDelta(7, 3);
+        long revision = state.revision();
+        assertEquals(CommandResult.Kind.BASE_CHANGED, replaceByDelta(8, 3));
+        assertEquals(document(7), state.traffic().getDocument());
+        assertEquals(revision, state.revision());
+        assertEquals(CommandResult.Kind.DONE, replaceByDelta(8, 0));
+        assertEquals(document(8), state.traffic().getDocument());
+    }
+
+    @Test
+    void overtakenDifferenceIsAcknowledgedWithoutEffect() {
+        replaceByDelta(7, 0);
+        assertEquals(CommandResult.Kind.DONE, replaceByDelta(5, 3));
+        assertEquals(7, state.traffic().getVersion());
+    }
 }
--- a/src/test/java/org/bulrushwheel/logic/fleet/FleetViewTest.java
+++ b/src/test/java/org/bulrushwheel/logic/fleet/FleetViewTest.java
@@ -83,4 +83,33 @@
         assertTrue(restored.usable("desk").get(0).isCold(3_999));
         assertTrue(!restored.usable("desk").get(0).isCold(4_000));
     }
+
+    private static FleetUpdate.Builder delta(long from, long to, long baseVersion, long version) {
+        ByteString base = baseVersion == 0
+                ? ByteString.EMPTY
+                : traffic(0, 1, baseVersion).getTraffic().getDocument();
+        ByteString document = traffic(0, 1, version).getTraffic().getDocument();
+        return update(from, to)
+                .setHasTraffic(true)
+                .setTraffic(TrafficDocument.newBuilder()
+                        .setVersion(version)
+                        .setDelta(DocumentDeltas.between(baseVersion, base, document)));
+    }
+
+    @Test
+    void differencesOfTheTrafficDocumentFollowOneAnother() {
+        FleetView view = after(FleetView.empty(), delta(0, 5, 0, 7), 0);
+        view = after(view, update(5, 6).addEndpoints(endpoint("e")), 0);
+        view = after(view, delta(6, 8, 7, 9), 0);
+        assertEquals(9, view.trafficVersion());
+        assertEquals(8, view.revision());
+    }
+
+    /** The instance turned to a control instance that knows it with a newer document than it has. */
+    @Test
+    void differenceFromAnotherDocumentIsIgnoredAsAWhole() {
+        FleetView view = after(FleetView.empty(), delta(0, 5, 0, 7), 0);
+        assertSame(view, after(view, delta(5, 9, 8, 9).addEndpoints(endpoint("e")), 0));
+        assertEquals(9, after(view, delta(5, 9, 0, 9), 0).trafficVersion());
+    }
 }
--- /dev/null
+++ b/src/test/java/org/bulrushwheel/logic/fleet/SubscriberTest.java
@@ -0,0 +1,66 @@
+package org.bulrushwheel.logic.fleet;
+
+import org.bulrushwheel.model.proto.EntryRecord;
+import org.bulrushwheel.model.proto.FleetHello;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class SubscriberTest {
+    private final Subscriber subscriber = new Subscriber("peer");
+
+    private static FleetHello hello(long incarnation, long revision) {
+        return FleetHello.newBuilder()
+                .setEntry(EntryRecord.newBuilder().setIncarnation(incarnation))
+                .setHaveRevision(revision)
+                .build();
+    }
+
+    @Test
+    void changesFollowOneAnotherOnlyAfterAcknowledgement() {
+        subscriber.onHello(hello(1, 5), 0);
+        assertTrue(subscriber.mayReceiveChanges(0));
+        subscriber.onChangesSent(9, 0);
+        assertFalse(subscriber.mayReceiveChanges(100));
+        subscriber.onHello(hello(1, 9), 200);
+        assertTrue(subscriber.mayReceiveChanges(200));
+        assertEquals(9, subscriber.revision());
+    }
+
+    /** A slow link: hellos every 300 ms while one update is on its way for seconds. */
+    @ParameterizedTest
+    @CsvSource({"900, 1", "2900, 2", "6900, 3", "10900, 4"})
+    void updateOnASlowLinkIsNotSentWithEveryHello(long transitMillis, int expectedCopies) {
+        int copies = 0;
+        for (long now = 0; now <= transitMillis; now += 100) {
+            if (now % 300 == 0) {
+                subscriber.onHello(hello(1, 5), now);
+            }
+            if (subscriber.mayReceiveChanges(now)) {
+                subscriber.onChangesSent(9, now);
+                copies++;
+            }
+        }
+        assertEquals(expectedCopies, copies);
+    }
+
+    @Test
+    void restartedInstanceReceivesItsFirstChangesAtOnce() {
+        subscriber.onHello(hello(1, 5), 0);
+        subscriber.onChangesSent(9, 0);
+        subscriber.onHello(hello(2, 0), 100);
+        assertTrue(subscriber.mayReceiveChanges(100));
+        assertEquals(0, subscriber.revision());
+    }
+
+    @Test
+    void instanceThatReportsNoLongerExpires() {
+        subscriber.onHello(hello(1, 5), 0);
+        assertFalse(subscriber.isExpired(1_900));
+        assertTrue(subscriber.isExpired(2_100));
+    }
+}
