Pass on large answers while they arrive

Change: a successful, signed answer of 16 KB or more is passed on while it arrives, with back pressure to the endpoint; one that breaks off breaks the caller's connection; the request's end moves to the caller's deadline. Shorter answers stay buffered and can be retried. Bytes that cannot be passed on yet are bounded by 16 MB a request instead of 64 MB.

--- a/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
+++ b/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -10,6 +11,8 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -51,10 +54,13 @@
     private static final class PipelinedRequest {
         private final CallerRequest request;
         private @Nullable Exchange exchange;
+        private final boolean acceptsChunks;
         private @Nullable EdgeAnswer answer;
+        private @Nullable StreamedAnswer stream;
 
-        private PipelinedRequest(CallerRequest request) {
+        private PipelinedRequest(CallerRequest request, boolean acceptsChunks) {
             this.request = request;
+            this.acceptsChunks = acceptsChunks;
         }
     }
 
@@ -65,7 +71,8 @@
     private @Nullable HttpRequest head;
     private @Nullable ByteBuf body;
     private boolean closing;
-    private boolean rejected;
+    // Set once a response announces the end of the connection: requests behind it count as not read.
+    private boolean inputEnded;
     private boolean receivedObject;
     private boolean receivingHead;
     private long lastActiveMillis;
@@ -81,7 +88,7 @@
      * way if the instance no longer accepts connections. A request whose headers do not arrive in time is rejected.
      */
     void closeIfIdle(boolean acceptsConnections) {
-        if (channel == null || closing || rejected) {
+        if (channel == null || closing || inputEnded) {
             return;
         }
         long idleMillis = context.nowMillis() - lastActiveMillis;
@@ -122,7 +129,7 @@
     @Override
     public void channelRead(ChannelHandlerContext handlerContext, Object message) {
         try {
-            if (!closing && !rejected && message instanceof HttpObject object) {
+            if (!closing && !inputEnded && message instanceof HttpObject object) {
                 read(object);
             }
         } finally {
@@ -157,7 +164,7 @@
         if (object instanceof HttpRequest request) {
             onHead(request);
         }
-        if (!rejected && head != null && object instanceof HttpContent content) {
+        if (!inputEnded && head != null && object instanceof HttpContent content) {
             onContent(content);
         }
     }
@@ -203,13 +210,15 @@
         ByteBuf fullBody = java.util.Objects.requireNonNull(body);
         head = null;
         body = null;
-        PipelinedRequest pending = new PipelinedRequest(new CallerRequest(
-                request.method(),
-                request.uri(),
-                request.headers(),
-                fullBody,
-                HttpUtil.isKeepAlive(request),
-                context.nowMillis()));
+        PipelinedRequest pending = new PipelinedRequest(
+                new CallerRequest(
+                        request.method(),
+                        request.uri(),
+                        request.headers(),
+                        fullBody,
+                        HttpUtil.isKeepAlive(request),
+                        context.nowMillis()),
+                request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0);
         pendingRequests.addLast(pending);
         if (pendingRequests.size() == 1 || !Exchange.mustWaitForPreceding(context, pending.request)) {
             start(pending);
@@ -218,7 +227,18 @@
     }
 
     private void start(PipelinedRequest pending) {
-        Exchange exchange = new Exchange(context, pending.request, answer -> onAnswer(pending, answer));
+        Exchange exchange = new Exchange(context, pending.request, new AnswerReceiver() {
+            @Override
+            public void onAnswer(EdgeAnswer answer) {
+                CallerConnection.this.onAnswer(pending, answer);
+            }
+
+            @Override
+            public Optional<AnswerStream> onLargeAnswer(
+                    HttpResponseStatus status, HttpHeaders headers, PausableSource source) {
+                return beginStream(pending, status, headers, source);
+            }
+        });
         pending.exchange = exchange;
         exchange.start();
     }
@@ -232,22 +252,118 @@
         writeReadyAnswers();
     }
 
+    private Optional<AnswerStream> beginStream(
+            PipelinedRequest pending, HttpResponseStatus status, HttpHeaders headers, PausableSource source) {
+        boolean hasLength = headers.contains(HttpHeaderNames.CONTENT_LENGTH);
+        boolean canStream = !closing
+                && pendingRequests.peekFirst() == pending
+                && !HttpMethod.HEAD.equals(pending.request.method())
+                && (hasLength || pending.acceptsChunks);
+        if (!canStream) {
+            return Optional.empty();
+        }
+        HttpHeaders streamed = HopHeaders.endToEnd(headers);
+        if (hasLength) {
+            streamed.set(HttpHeaderNames.CONTENT_LENGTH, headers.get(HttpHeaderNames.CONTENT_LENGTH));
+        } else {
+            streamed.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
+        boolean closes = closesAfter(pending);
+        if (closes) {
+            inputEnded = true;
+            streamed.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        lastActiveMillis = context.nowMillis();
+        requireChannel().write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, streamed));
+        StreamedAnswer stream = new StreamedAnswer(pending, source, closes);
+        pending.stream = stream;
+        return Optional.of(stream);
+    }
+
+    /** The answer at the head of the connection, while its body arrives. */
+    private final class StreamedAnswer implements AnswerStream {
+        private final PipelinedRequest pending;
+        private final PausableSource source;
+        private final boolean closesConnection;
+
+        private StreamedAnswer(PipelinedRequest pending, PausableSource source, boolean closesConnection) {
+            this.pending = pending;
+            this.source = source;
+            this.closesConnection = closesConnection;
+        }
+
+        @Override
+        public void write(ByteBuf content) {
+            if (closing) {
+                content.release();
+                return;
+            }
+            lastActiveMillis = context.nowMillis();
+            requireChannel().writeAndFlush(new DefaultHttpContent(content));
+            source.setPaused(!requireChannel().channel().isWritable());
+        }
+
+        @Override
+        public void complete() {
+            if (closing || pendingRequests.peekFirst() != pending) {
+                return;
+            }
+            pendingRequests.pollFirst();
+            if (closesConnection) {
+                writeAndClose(LastHttpContent.EMPTY_LAST_CONTENT);
+                return;
+            }
+            requireChannel().writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+            startNext();
+            writeReadyAnswers();
+        }
+
+        @Override
+        public void breakOff() {
+            if (!closing && pendingRequests.peekFirst() == pending) {
+                pendingRequests.pollFirst();
+                closing = true;
+                pendingRequests.forEach(CallerConnection.this::abandon);
+                pendingRequests.clear();
+                requireChannel().close();
+            }
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext handlerContext) {
+        PipelinedRequest first = pendingRequests.peekFirst();
+        if (first != null && first.stream != null) {
+            first.stream.source.setPaused(!handlerContext.channel().isWritable());
+        }
+        handlerContext.fireChannelWritabilityChanged();
+    }
+
+    private boolean closesAfter(PipelinedRequest pending) {
+        boolean last = pendingRequests.size() <= 1 && head == null;
+        return !pending.request.keepAlive() || (last && server.isDraining());
+    }
+
+    private void startNext() {
+        PipelinedRequest next = pendingRequests.peekFirst();
+        if (!closing && next != null && next.exchange == null && next.answer == null) {
+            start(next);
+        }
+    }
+
     private void writeReadyAnswers() {
         while (!closing && !pendingRequests.isEmpty() && pendingRequests.peekFirst().answer != null) {
-            PipelinedRequest first = pendingRequests.pollFirst();
-            write(first, java.util.Objects.requireNonNull(first.answer));
-            PipelinedRequest next = pendingRequests.peekFirst();
-            if (!closing && next != null && next.exchange == null && next.answer == null) {
-                start(next);
-            }
+            PipelinedRequest first = pendingRequests.peekFirst();
+            boolean closes = closesAfter(first);
+            pendingRequests.pollFirst();
+            write(first, java.util.Objects.requireNonNull(first.answer), closes);
+            startNext();
         }
         requireChannel().channel().config().setAutoRead(true);
     }
 
-    private void write(PipelinedRequest pending, EdgeAnswer answer) {
+    private void write(PipelinedRequest pending, EdgeAnswer answer, boolean close) {
         lastActiveMillis = context.nowMillis();
-        boolean last = pendingRequests.isEmpty() && head == null;
-        boolean close = !pending.request.keepAlive() || (last && server.isDraining());
         HttpHeaders headers = HopHeaders.endToEnd(answer.headers());
         FullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, answer.status(), answer.body(), headers, EmptyHttpHeaders.INSTANCE);
@@ -269,18 +385,25 @@
     /** Answers an unreadable request after all preceding ones; the connection is closed with this answer. */
     private void reject(int status, String reason) {
         discardPartialRequest();
-        rejected = true;
+        inputEnded = true;
         receivingHead = false;
         context.count("edge.rejected." + status);
-        PipelinedRequest unreadable = new PipelinedRequest(new CallerRequest(
-                HttpMethod.GET, "", EmptyHttpHeaders.INSTANCE, Unpooled.EMPTY_BUFFER, false, context.nowMillis()));
+        PipelinedRequest unreadable = new PipelinedRequest(
+                new CallerRequest(
+                        HttpMethod.GET,
+                        "",
+                        EmptyHttpHeaders.INSTANCE,
+                        Unpooled.EMPTY_BUFFER,
+                        false,
+                        context.nowMillis()),
+                false);
         unreadable.answer = EdgeAnswer.localReply(status, reason);
         pendingRequests.addLast(unreadable);
         writeReadyAnswers();
     }
 
     /** Writes the last response and closes the socket after the caller had time to read it. */
-    private void writeAndClose(FullHttpResponse response) {
+    private void writeAndClose(HttpObject response) {
         closing = true;
         pendingRequests.forEach(this::abandon);
         pendingRequests.clear();
--- a/src/main/java/org/bulrushwheel/server/edge/EndpointConnection.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EndpointConnection.java
@@ -27,9 +27,11 @@
  * <p>Invariants: a response is delivered only when it is complete and does not carry the ID of another request; bytes
  * that belong to no request close the connection. Not thread safe: confined to its event loop.
  */
-final class EndpointConnection extends ChannelInboundHandlerAdapter {
-    // Responses are buffered; larger ones would exhaust this instance's memory when several arrive at once.
-    private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+final class EndpointConnection extends ChannelInboundHandlerAdapter implements PausableSource {
+    // A shorter response is buffered, so that the request can be retried when the response breaks off.
+    private static final int STREAMED_FROM_BYTES = 16 * 1024;
+    // Bounds a response that cannot be streamed yet; several may arrive at once.
+    private static final int MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
     private static final int MAX_BODY_COMPONENTS = 1_024;
 
     private final EdgeHeaders headerNames;
@@ -42,6 +44,7 @@
     private boolean answerBegun;
     private @Nullable HttpResponse head;
     private @Nullable CompositeByteBuf body;
+    private @Nullable AnswerStream stream;
     private long idleDeadlineMillis;
 
     EndpointConnection(EdgeHeaders headerNames, EndpointPool pool) {
@@ -85,6 +88,7 @@
     /** Closes the connection to cancel the request at the endpoint, without notifying the listener. */
     void abort() {
         listener = null;
+        stream = null;
         close();
     }
 
@@ -152,6 +156,10 @@
     private void onContent(HttpContent content) {
         HttpResponse answerHead = head;
         CompositeByteBuf components = body;
+        if (answerHead != null && stream != null) {
+            onStreamedContent(answerHead, stream, content);
+            return;
+        }
         if (answerHead == null || components == null) {
             if (content.content().isReadable()) {
                 fail("bytes without an answer");
@@ -161,12 +169,54 @@
         if (content.content().isReadable()) {
             components.addComponent(true, content.content().retain());
         }
-        if (components.readableBytes() > MAX_ANSWER_BYTES) {
+        if (content instanceof LastHttpContent) {
+            onFullAnswer(answerHead);
+        } else if (components.readableBytes() >= STREAMED_FROM_BYTES) {
+            onLargeAnswer(answerHead, components);
+        }
+    }
+
+    private void onLargeAnswer(HttpResponse answerHead, CompositeByteBuf components) {
+        if (components.readableBytes() > MAX_BUFFERED_BYTES) {
             fail("answer too long");
             return;
         }
+        if (listener == null || mismatchedRequestId) {
+            return;
+        }
+        listener.onLargeAnswer(answerHead, this).ifPresent(begun -> {
+            listener = null;
+            body = null;
+            stream = begun;
+            begun.write(components);
+        });
+    }
+
+    private void onStreamedContent(HttpResponse answerHead, AnswerStream begun, HttpContent content) {
+        if (content.content().isReadable()) {
+            begun.write(content.content().retain());
+        }
         if (content instanceof LastHttpContent) {
-            onFullAnswer(answerHead);
+            stream = null;
+            head = null;
+            releaseConnection(answerHead);
+            begun.complete();
+        }
+    }
+
+    private void releaseConnection(HttpResponse answerHead) {
+        if (reusable && HttpUtil.isKeepAlive(answerHead)) {
+            setPaused(false);
+            pool.returnConnection(this, keepAliveMillis(answerHead.headers()));
+        } else {
+            close();
+        }
+    }
+
+    @Override
+    public void setPaused(boolean paused) {
+        if (channel != null) {
+            channel.config().setAutoRead(!paused);
         }
     }
 
@@ -182,18 +232,13 @@
         body = null;
         AttemptListener receiver = listener;
         listener = null;
-        boolean keep = reusable && HttpUtil.isKeepAlive(answerHead);
         if (receiver == null) {
             fullBody.release();
             close();
             return;
         }
         EdgeAnswer answer = new EdgeAnswer(answerHead.status(), answerHead.headers(), fullBody);
-        if (keep) {
-            pool.returnConnection(this, keepAliveMillis(answerHead.headers()));
-        } else {
-            close();
-        }
+        releaseConnection(answerHead);
         receiver.onAnswer(answer);
     }
 
@@ -203,8 +248,13 @@
 
     private void fail(String reason) {
         AttemptListener receiver = listener;
+        AnswerStream broken = stream;
         listener = null;
+        stream = null;
         close();
+        if (broken != null) {
+            broken.breakOff();
+        }
         if (receiver != null) {
             receiver.onConnectionFailure(reason, answerBegun);
         }
--- a/src/main/java/org/bulrushwheel/server/edge/Exchange.java
+++ b/src/main/java/org/bulrushwheel/server/edge/Exchange.java
@@ -3,9 +3,12 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.Future;
 import io.vavr.control.Either;
 import org.bulrushwheel.logic.fleet.FleetView;
@@ -20,9 +23,10 @@
 /**
  * Processing of one request of a caller, from routing to the final response, including retries.
  *
- * <p>Invariants: exactly one response is delivered, unless the caller has disconnected; status 503 is used only if no
- * byte can have reached an endpoint or every endpoint reported that it did not run the request; a request that must run
- * at most once is never sent again after an endpoint may have run it. Not thread safe: confined to one event loop.
+ * <p>Invariants: exactly one response is delivered, whole or as a stream, unless the caller has disconnected; status 503
+ * is used only if no byte can have reached an endpoint or every endpoint reported that it did not run the request; a
+ * request that must run at most once is never sent again after an endpoint may have run it. Not thread safe: confined to
+ * one event loop.
  */
 final class Exchange {
     /** Outcome reason of a request for which an endpoint's response was passed on. */
@@ -39,7 +43,7 @@
 
     private final EdgeContext context;
     private final CallerRequest request;
-    private final Consumer<EdgeAnswer> answerConsumer;
+    private final AnswerReceiver receiver;
     private final RequestTrail trail;
     private final Set<String> triedEndpoints = new HashSet<>();
     private @Nullable TrafficRoute route;
@@ -54,12 +58,13 @@
     private @Nullable EndpointConnection currentConnection;
     private @Nullable Endpoint currentEndpoint;
     private @Nullable EdgeAnswer lastAnswer;
+    private @Nullable AnswerStream streamToCaller;
     private @Nullable Future<?> deadlineTimer;
 
-    Exchange(EdgeContext context, CallerRequest request, Consumer<EdgeAnswer> answerConsumer) {
+    Exchange(EdgeContext context, CallerRequest request, AnswerReceiver receiver) {
         this.context = context;
         this.request = request;
-        this.answerConsumer = answerConsumer;
+        this.receiver = receiver;
         this.trail = new RequestTrail(context, request, requestId());
     }
 
@@ -119,7 +124,7 @@
         callerLeft = true;
         context.count("edge.callers.left");
         boolean once = route != null && route.kind() == RouteKind.ONCE;
-        if (currentConnection == null || !once) {
+        if (currentConnection == null || !once || streamToCaller != null) {
             boolean inFlight = currentConnection != null;
             abortCurrent();
             close();
@@ -202,6 +207,11 @@
                 onAttemptAnswered(endpoint, answer, nowMillis);
             }
 
+            @Override
+            public Optional<AnswerStream> onLargeAnswer(HttpResponse head, PausableSource source) {
+                return beginStream(endpoint, head, source, nowMillis);
+            }
+
             @Override
             public void onConnectionFailure(String reason, boolean answerBegun) {
                 onAttemptFailed(endpoint, reason, !answerBegun);
@@ -247,6 +257,68 @@
         finish(answer, ANSWERED);
     }
 
+    /** Passes on an answer while it arrives. Only a successful one: the others may still be replaced by a retry. */
+    private Optional<AnswerStream> beginStream(
+            Endpoint endpoint, HttpResponse head, PausableSource source, long sentMillis) {
+        EdgeAnswer answer = new EdgeAnswer(head.status(), head.headers(), Unpooled.EMPTY_BUFFER);
+        boolean isFinal = head.status().codeClass() == HttpStatusClass.SUCCESS
+                && !context.answerReader().isNotRun(answer)
+                && !context.answerReader().isUnsigned(answer);
+        if (!isFinal || finished || callerLeft) {
+            return Optional.empty();
+        }
+        Optional<AnswerStream> begun = receiver.onLargeAnswer(head.status(), head.headers(), source);
+        begun.ifPresent(toCaller -> {
+            streamToCaller = toCaller;
+            context.answerReader().load(answer).ifPresent(load -> context.onLoadReported(endpoint, load));
+            context.onRequestAnswered(request);
+            context.chooser()
+                    .answered(
+                            endpoint, java.util.Objects.requireNonNull(route).name(), context.nowMillis() - sentMillis);
+            // From now on an end at the time-out of the route would only waste what the endpoint has done.
+            deadlineMillis = Math.max(deadlineMillis, callerDeadlineMillis());
+        });
+        return begun.map(toCaller -> trackStream(endpoint, head.status().code(), toCaller));
+    }
+
+    private AnswerStream trackStream(Endpoint endpoint, int status, AnswerStream toCaller) {
+        return new AnswerStream() {
+            @Override
+            public void write(ByteBuf content) {
+                toCaller.write(content);
+            }
+
+            @Override
+            public void complete() {
+                endStream(endpoint, status, ANSWERED);
+                toCaller.complete();
+            }
+
+            @Override
+            public void breakOff() {
+                context.suspend(endpoint, "stream-broken");
+                endStream(endpoint, status, "stream-broken");
+                toCaller.breakOff();
+            }
+        };
+    }
+
+    private void endStream(Endpoint endpoint, int status, String reason) {
+        if (finished) {
+            return;
+        }
+        endAttempt(endpoint);
+        mayHaveRun = true;
+        close();
+        trail.completed(status, reason, true, callerLeft);
+    }
+
+    private long callerDeadlineMillis() {
+        return request.millisHeader(context.headerNames().deadlineMillis())
+                .map(callerTimeoutMillis -> request.receivedMillis() + callerTimeoutMillis)
+                .orElse(deadlineMillis);
+    }
+
     private void onAttemptFailed(Endpoint endpoint, String reason, boolean mayHaveCrashed) {
         if (currentConnection != null) {
             endAttempt(endpoint);
@@ -304,13 +376,24 @@
             return;
         }
         boolean inFlight = currentConnection != null;
+        if (context.nowMillis() < deadlineMillis) {
+            deadlineTimer = context.runAfter(deadlineMillis - context.nowMillis(), this::onDeadline);
+            return;
+        }
         if (inFlight && context.nowMillis() < deadlineMillis + ANSWER_GRACE_MILLIS) {
             deadlineTimer =
                     context.runAfter(deadlineMillis + ANSWER_GRACE_MILLIS - context.nowMillis(), this::onDeadline);
             return;
         }
         mayHaveRun = mayHaveRun || inFlight;
+        AnswerStream begun = streamToCaller;
         abortCurrent();
+        if (begun != null) {
+            close();
+            trail.completed(NO_STATUS, "deadline", true, callerLeft);
+            begun.breakOff();
+            return;
+        }
         if (lastAnswer != null || !mayHaveRun) {
             giveUp("deadline");
         } else {
@@ -329,7 +412,7 @@
         if (hasCallerLeft) {
             answer.body().release();
         } else {
-            answerConsumer.accept(answer);
+            receiver.onAnswer(answer);
         }
     }
 
