Connect to peers again with short time-outs first

The first connections go to machines without power and hang for the time-out of 1 s, with every frame behind them.

--- a/src/main/java/org/bulrushwheel/wire/PeerLink.java
+++ b/src/main/java/org/bulrushwheel/wire/PeerLink.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
 import org.bulrushwheel.model.instance.Address;
 import org.bulrushwheel.model.proto.Frame;
 import org.jspecify.annotations.Nullable;
@@ -19,12 +21,12 @@
  */
 final class PeerLink {
     private static final int MAX_WAITING_FRAMES = 1024;
-    private static final long RECONNECT_BACKOFF_NANOS = 100_000_000L;
 
     private final Address address;
     private final Bootstrap bootstrap;
     private final MetricRegistry metrics;
     private final Queue<Frame> waiting = new ArrayDeque<>();
+    private final ConnectBackoff backoff = new ConnectBackoff();
     private @Nullable Channel channel;
     private boolean connecting;
     private long nextAttemptNanos = System.nanoTime();
@@ -65,18 +67,23 @@
             return;
         }
         connecting = true;
-        bootstrap.connect(address.toSocketAddress()).addListener(future -> connected((ChannelFuture) future));
+        bootstrap
+                .clone()
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, backoff.timeoutMillis())
+                .connect(address.toSocketAddress())
+                .addListener(future -> connected((ChannelFuture) future));
     }
 
     private synchronized void connected(ChannelFuture future) {
         connecting = false;
         if (!future.isSuccess()) {
-            nextAttemptNanos = System.nanoTime() + RECONNECT_BACKOFF_NANOS;
+            nextAttemptNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(backoff.onFailure());
             metrics.counter("peers.connections.refused").inc();
             metrics.counter("peers.frames.dropped").inc(waiting.size());
             waiting.clear();
             return;
         }
+        backoff.onSuccess();
         Channel opened = future.channel();
         channel = opened;
         waiting.forEach(frame -> opened.write(frame, opened.voidPromise()));
--- a/src/main/java/org/bulrushwheel/wire/PeerNetwork.java
+++ b/src/main/java/org/bulrushwheel/wire/PeerNetwork.java
@@ -39,7 +39,6 @@
     private static final String SENT_BYTES_PREFIX = "peers.bytes.sent.";
     private static final int MAX_FRAME_BYTES = 64 * 1024 * 1024;
     private static final int EVENT_LOOP_THREADS = 2;
-    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
     private final String self;
     private final Address listen;
@@ -82,7 +81,6 @@
                 .group(eventLoops)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .handler(new FrameCodec(MAX_FRAME_BYTES, metrics, this::onFrame));
     }
 
