--- a/src/main/java/org/bulrushwheel/logic/settings/RecordShape.java
+++ b/src/main/java/org/bulrushwheel/logic/settings/RecordShape.java
@@ -95,7 +95,7 @@
         if (type == int.class || type == long.class) {
             return value.isIntegralNumber();
         }
-        if (type == double.class) {
+        if (type == double.class || type == Double.class) {
             return value.isNumber();
         }
         if (type.isEnum()) {
@@ -109,7 +109,7 @@
         if (type.isEnum()) {
             return "one of " + Arrays.toString(type.getEnumConstants());
         }
-        if (type == double.class) {
+        if (type == double.class || type == Double.class) {
             return "number";
         }
         return type == String.class ? "text" : type == boolean.class ? "true or false" : "whole number";
