--- a/src/test/java/org/bulrushwheel/logic/settings/FleetSettingsTest.java
+++ b/src/test/java/org/bulrushwheel/logic/settings/FleetSettingsTest.java
@@ -6,6 +6,7 @@
 import org.bulrushwheel.model.settings.FleetSettings;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -49,7 +50,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"\"linkMegabitsPerSecond = 'fast'\"", "linkMegabitsPerSecond = true"})
+    @ValueSource(strings = {"linkMegabitsPerSecond = \"fast\"", "linkMegabitsPerSecond = true"})
     void faultNamesTheSettingAndWhatIsExpected(String line) {
         String faults =
                 SettingsReader.readFleet(DOCUMENT.formatted(line)).getLeft().toString();
