--- a/src/main/java/org/bulrushwheel/control/ControlService.java
+++ b/src/main/java/org/bulrushwheel/control/ControlService.java
@@ -142,17 +142,17 @@
     }
 
     /** Adds a listener for accepted configurations; it is called on the control thread. */
-    public void onAccepted(Consumer<VersionedConfiguration> listener) {
+    public void addConfigurationListener(Consumer<VersionedConfiguration> listener) {
         configurationListeners.add(listener);
     }
 
     /** Adds a listener for fleet state changes; it is called on the control thread. */
-    public void onFleet(Consumer<FleetState> listener) {
+    public void addFleetListener(Consumer<FleetState> listener) {
         fleetListeners.add(listener);
     }
 
     /** Sets the sink that records events of this replica; must be called before the start. */
-    public void tellDecisions(DecisionSink decisions) {
+    public void setDecisionSink(DecisionSink decisions) {
         eventLog = new ReplicaEventLog(decisions);
     }
 
--- a/src/main/java/org/bulrushwheel/daemon/Daemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/Daemon.java
@@ -156,8 +156,8 @@
         }
         ControlService control =
                 kernel.register(new ControlService(settings, peers, time, RandomGenerator.getDefault(), metrics));
-        control.tellDecisions(decisions);
-        control.onAccepted(configuration::accepted);
+        control.setDecisionSink(decisions);
+        control.addConfigurationListener(configuration::accepted);
         configuration.setConfirmer(control::confirmFetch);
         control.onConfirmedFetch(configuration::answerConfirmed);
         configuration.setLeads(() -> control.status().role() == RaftRole.LEADER);
--- a/src/main/java/org/bulrushwheel/daemon/EdgeDaemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/EdgeDaemon.java
@@ -66,12 +66,12 @@
                 time,
                 metrics,
                 decisions));
-        edge.onViewAge(subscription::viewAgeMillis);
-        subscription.onView(edge::use);
-        subscription.onPoison(edge::mergePoison);
-        edge.onPoison(subscription::tell);
-        subscription.onLoads(edge::hearLoads);
-        edge.onLoads(subscription::tellLoads);
+        edge.setViewAge(subscription::viewAgeMillis);
+        subscription.onView(edge::updateView);
+        subscription.setPoisonListener(edge::mergePoison);
+        edge.setPoisonListener(subscription::publishPoisonRecord);
+        subscription.setLoadListener(edge::mergeLoads);
+        edge.setLoadListener(subscription::publishLoads);
         kernel.register(new ApiServer(
                 "readiness-api",
                 Address.parse(
--- a/src/main/java/org/bulrushwheel/daemon/FleetControlDaemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/FleetControlDaemon.java
@@ -80,7 +80,7 @@
                 time,
                 RandomGenerator.getDefault(),
                 metrics));
-        control.tellDecisions(decisions);
+        control.setDecisionSink(decisions);
         ControlClient client = kernel.register(new ControlClient(() -> replicas(control), peers, time, metrics));
         EndpointRegistry registry = kernel.register(new EndpointRegistry(
                 control,
--- a/src/main/java/org/bulrushwheel/logic/fleet/FleetView.java
+++ b/src/main/java/org/bulrushwheel/logic/fleet/FleetView.java
@@ -76,7 +76,7 @@
      * @param regionsByZone regions of the zones
      * @param nowMillis monotonic time at which the update arrived
      */
-    public FleetView after(
+    public FleetView withUpdate(
             FleetUpdate update, TrafficDocumentCodec codec, Map<String, String> regionsByZone, long nowMillis) {
         boolean changes = update.getRevision() > revision && update.getFromRevision() <= revision;
         int nextEntryInstances = Math.max(1, update.getEntryInstances());
--- a/src/main/java/org/bulrushwheel/logic/placement/EndpointChooser.java
+++ b/src/main/java/org/bulrushwheel/logic/placement/EndpointChooser.java
@@ -79,7 +79,7 @@
     }
 
     /** Records that a request is sent to an endpoint. */
-    public void sent(Endpoint endpoint, PlacementQuery query, long nowMillis) {
+    public void onSent(Endpoint endpoint, PlacementQuery query, long nowMillis) {
         loadOf(endpoint).sent();
         if (query.affinity()) {
             recentPlacements.sent(query.key(), endpoint.id(), nowMillis);
@@ -87,12 +87,12 @@
     }
 
     /** Records that a request at an endpoint has ended. */
-    public void ended(Endpoint endpoint) {
+    public void onEnded(Endpoint endpoint) {
         loadOf(endpoint).ended();
     }
 
     /** Records a complete answer and updates the mean service times of its route and service. */
-    public void answered(Endpoint endpoint, String route, long tookMillis) {
+    public void onAnswer(Endpoint endpoint, String route, long tookMillis) {
         loadOf(endpoint).succeeded();
         updateAverage(serviceMillisByRoute, route, tookMillis);
         updateAverage(serviceMillisByService, endpoint.service(), tookMillis);
@@ -122,7 +122,7 @@
     }
 
     /** Records a failed connection or a truncated answer; returns for how many milliseconds the endpoint is avoided. */
-    public long failed(Endpoint endpoint, long nowMillis) {
+    public long onFailure(Endpoint endpoint, long nowMillis) {
         return loadOf(endpoint).failed(nowMillis);
     }
 
--- a/src/main/java/org/bulrushwheel/measure/affinity/AffinityRun.java
+++ b/src/main/java/org/bulrushwheel/measure/affinity/AffinityRun.java
@@ -112,7 +112,7 @@
                         .setSlots(workload.slots()));
             }
         }
-        FleetView view = FleetView.empty().after(update.build(), new JsonTrafficCodec(), zones, 0);
+        FleetView view = FleetView.empty().withUpdate(update.build(), new JsonTrafficCodec(), zones, 0);
         for (int entry = 0; entry < workload.entryInstances(); entry++) {
             EndpointChooser chooser =
                     new EndpointChooser(new PlacementSettings("entry-" + entry, regionOf(entry), regions, 1, 1));
@@ -162,7 +162,7 @@
             lost += countAfterWarmUp(startMillis);
             return;
         }
-        choosers.get(entry).sent(choice.get(), query, clock());
+        choosers.get(entry).onSent(choice.get(), query, clock());
         ModelRequest request = new ModelRequest(entry, startMillis, query, choice.get());
         after(networkMillis(request), () -> arriveAtEndpoint(request));
     }
@@ -213,7 +213,7 @@
         after(networkMillis(request), () -> {
             receiveLoad(request, load);
             if (completes) {
-                choosers.get(request.entry()).answered(request.endpoint(), route.name(), Math.round(tookMillis));
+                choosers.get(request.entry()).onAnswer(request.endpoint(), route.name(), Math.round(tookMillis));
             }
         });
         while (endpoint.running < workload.slots() && !endpoint.waiting.isEmpty()) {
@@ -221,7 +221,7 @@
             if (next.startMillis() + workload.timeoutMillis() > nowMillis) {
                 startExecution(endpoint, next);
             } else {
-                choosers.get(next.entry()).ended(next.endpoint());
+                choosers.get(next.entry()).onEnded(next.endpoint());
                 lost += countAfterWarmUp(next.startMillis());
             }
         }
@@ -230,7 +230,7 @@
     /** Passes the load that came with an answer to the entry instance, which shares it with all entry instances. */
     private void receiveLoad(ModelRequest request, int load) {
         EndpointChooser chooser = choosers.get(request.entry());
-        chooser.ended(request.endpoint());
+        chooser.onEnded(request.endpoint());
         boolean changed = chooser.onLoadReport(request.endpoint(), load, clock());
         if (changed && Double.isFinite(sharingDelayMillis) && sharingEntries.add(request.entry())) {
             // Half of the delay is the pause in which an instance collects loads before it sends them in one batch.
--- a/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
@@ -139,7 +139,7 @@
 
     /** Suspends a failing endpoint from placement for a period set by the chooser, and records the decision. */
     void suspend(Endpoint endpoint, String reason) {
-        long suspendedMillis = chooser.failed(endpoint, nowMillis());
+        long suspendedMillis = chooser.onFailure(endpoint, nowMillis());
         record(Decision.of(DecisionKind.ENDPOINT_JUDGED)
                 .with(DecisionField.ENDPOINT, endpoint.id())
                 .with(DecisionField.SERVICE, endpoint.service())
--- a/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
@@ -51,7 +51,7 @@
     private volatile boolean acceptsConnections = true;
     private volatile int openConnections;
 
-    /** Creates a server that forwards requests according to the fleet view last set with {@link #use}. */
+    /** Creates a server that forwards requests according to the fleet view last set with {@link #updateView}. */
     public EdgeServer(
             EdgeSettings settings,
             EdgeHeaders headerNames,
@@ -70,12 +70,12 @@
     }
 
     /** Replaces the fleet view; must be called on the event loop. */
-    public void use(FleetView view) {
+    public void updateView(FleetView view) {
         context.updateView(view);
     }
 
     /** Sets the supplier of the age of the fleet view in milliseconds; must be called before the start. */
-    public void onViewAge(LongSupplier ageMillis) {
+    public void setViewAge(LongSupplier ageMillis) {
         context.setViewAge(ageMillis);
     }
 
@@ -83,17 +83,17 @@
      * Sets the listener that informs the other instances about requests that were in flight when an endpoint closed the
      * connection.
      */
-    public void onPoison(Consumer<PoisonRecord> listener) {
+    public void setPoisonListener(Consumer<PoisonRecord> listener) {
         context.setPoisonListener(listener);
     }
 
     /** Sets the listener that sends endpoint loads to the other instances; it is called on the event loop. */
-    public void onLoads(Consumer<List<SeenLoad>> listener) {
+    public void setLoadListener(Consumer<List<SeenLoad>> listener) {
         context.setLoadListener(listener);
     }
 
     /** Merges endpoint loads observed by another instance; must be called on the event loop. */
-    public void hearLoads(List<SeenLoad> loads) {
+    public void mergeLoads(List<SeenLoad> loads) {
         context.mergeLoads(loads);
     }
 
--- a/src/main/java/org/bulrushwheel/server/edge/Exchange.java
+++ b/src/main/java/org/bulrushwheel/server/edge/Exchange.java
@@ -161,7 +161,7 @@
         Endpoint endpoint = choice.get();
         triedEndpoints.add(endpoint.id());
         currentEndpoint = endpoint;
-        context.chooser().sent(endpoint, query, nowMillis);
+        context.chooser().onSent(endpoint, query, nowMillis);
         // A second break on a reused connection could not be told from a request that crashes endpoints.
         context.poolOf(endpoint).acquire(connectionBroke, acquired -> onConnection(endpoint, acquired));
     }
@@ -254,7 +254,7 @@
         }
         if (!serverError) {
             context.chooser()
-                    .answered(endpoint, java.util.Objects.requireNonNull(route).name(), nowMillis - sentMillis);
+                    .onAnswer(endpoint, java.util.Objects.requireNonNull(route).name(), nowMillis - sentMillis);
         }
         finish(answer, ANSWERED);
     }
@@ -275,7 +275,7 @@
             context.answerReader().load(answer).ifPresent(load -> context.onLoadReported(endpoint, load));
             context.onRequestAnswered(request);
             context.chooser()
-                    .answered(
+                    .onAnswer(
                             endpoint, java.util.Objects.requireNonNull(route).name(), context.nowMillis() - sentMillis);
             // From now on an end at the time-out of the route would only waste what the endpoint has done.
             deadlineMillis = Math.max(deadlineMillis, callerDeadlineMillis());
@@ -445,7 +445,7 @@
     private void endAttempt(Endpoint endpoint) {
         currentConnection = null;
         currentEndpoint = null;
-        context.chooser().ended(endpoint);
+        context.chooser().onEnded(endpoint);
     }
 
     private void replaceLastAnswer(EdgeAnswer answer) {
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
@@ -58,7 +58,7 @@
         this.peers = peers;
         this.time = time;
         this.timer = new ServiceTimer(NAME, metrics);
-        control.onFleet(this::publish);
+        control.addFleetListener(this::publish);
         peers.handle(Frame.BodyCase.FLEET_HELLO, (frame, reply) -> onHello(frame.getFleetHello()));
         peers.handle(Frame.BodyCase.ENTRY_SUMMARY, (frame, reply) -> onSummary(frame.getEntrySummary()));
         peers.handle(
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetSubscription.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetSubscription.java
@@ -111,7 +111,7 @@
     }
 
     /** Sends the record of a suspect request to the other entry instances, through the control instances. */
-    public void tell(PoisonRecord record) {
+    public void publishPoisonRecord(PoisonRecord record) {
         if (!source.isEmpty()) {
             peers.send(
                     source,
@@ -120,7 +120,7 @@
     }
 
     /** Sends loads of endpoints to the other entry instances, through the control instances. */
-    public void tellLoads(List<SeenLoad> loads) {
+    public void publishLoads(List<SeenLoad> loads) {
         if (!source.isEmpty()) {
             peers.send(
                     source,
@@ -129,7 +129,7 @@
     }
 
     /** Sets the listener for endpoint loads measured by other entry instances; called on the event loop. */
-    public void onLoads(Consumer<List<SeenLoad>> listener) {
+    public void setLoadListener(Consumer<List<SeenLoad>> listener) {
         peers.handle(
                 Frame.BodyCase.LOAD_NOTICE,
                 (frame, reply) ->
@@ -137,7 +137,7 @@
     }
 
     /** Sets the listener for suspect requests reported by other entry instances; called on the event loop. */
-    public void onPoison(Consumer<PoisonRecord> listener) {
+    public void setPoisonListener(Consumer<PoisonRecord> listener) {
         peers.handle(
                 Frame.BodyCase.POISON_NOTICE,
                 (frame, reply) -> loop.execute(
@@ -249,7 +249,7 @@
         FleetUpdate smoothed = update.toBuilder()
                 .setEntryInstances((int) Math.round(entryInstanceEstimate))
                 .build();
-        FleetView next = view.after(smoothed, codec, regionsByZone, nowMillis);
+        FleetView next = view.withUpdate(smoothed, codec, regionsByZone, nowMillis);
         if (next == view) {
             return;
         }
--- a/src/test/java/org/bulrushwheel/logic/fleet/FleetViewTest.java
+++ b/src/test/java/org/bulrushwheel/logic/fleet/FleetViewTest.java
@@ -42,7 +42,7 @@
     }
 
     private static FleetView after(FleetView view, FleetUpdate.Builder update, long nowMillis) {
-        return view.after(update.build(), CODEC, REGIONS, nowMillis);
+        return view.withUpdate(update.build(), CODEC, REGIONS, nowMillis);
     }
 
     @Test
--- a/src/test/java/org/bulrushwheel/logic/placement/EndpointChooserTest.java
+++ b/src/test/java/org/bulrushwheel/logic/placement/EndpointChooserTest.java
@@ -69,7 +69,7 @@
                         .setColdRemainingMillis(coldMillis));
             }
         }
-        return FleetView.empty().after(update.build(), new JsonTrafficCodec(), ZONES, 0);
+        return FleetView.empty().withUpdate(update.build(), new JsonTrafficCodec(), ZONES, 0);
     }
 
     private static EndpointChooser chooser(String region, FleetView view) {
@@ -144,7 +144,7 @@
         EndpointChooser chooser = chooser("a", view(24, 0, 0, 3, 0));
         Endpoint first = choose(chooser, query("k"));
         assertNotEquals(first, choose(chooser, query("k", Set.of(), Set.of(first.id()))));
-        chooser.failed(first, 10_000);
+        chooser.onFailure(first, 10_000);
         assertNotEquals(first, choose(chooser, query("k")));
         assertEquals(first, chooser.choose(query("k"), 11_000).orElseThrow(), "the suspension has expired");
     }
@@ -154,11 +154,11 @@
         EndpointChooser chooser = chooser("a", view(24, 0, 0, 3, 0));
         Endpoint first = choose(chooser, query("k"));
         for (int request = 0; request < 4; request++) {
-            chooser.sent(first, query("k"), 10_000);
+            chooser.onSent(first, query("k"), 10_000);
         }
         assertEquals(first, choose(chooser, query("k")), "waiting for one request costs less than a cache miss");
         for (int request = 0; request < 12; request++) {
-            chooser.sent(first, query("k"), 10_000);
+            chooser.onSent(first, query("k"), 10_000);
         }
         assertNotEquals(first, choose(chooser, query("k")));
     }
@@ -188,8 +188,8 @@
                 SeenLoad.newBuilder().setEndpoint(first.id()).setRequests(6).build();
         chooser.onPeerLoad(queued, 10_000);
         assertEquals(first, choose(chooser, query("k")), "a short wait costs less than a cache miss");
-        chooser.sent(second, query("k"), 9_000);
-        chooser.ended(second);
+        chooser.onSent(second, query("k"), 9_000);
+        chooser.onEnded(second);
         assertEquals(second, choose(chooser, query("k")));
     }
 
@@ -206,7 +206,8 @@
                         .setSlots(4)
                         .setColdRemainingMillis(60_000))
                 .build();
-        EndpointChooser chooser = chooser("a", view(24, 0, 0, 3, 0).after(mixed, new JsonTrafficCodec(), ZONES, 0));
+        EndpointChooser chooser =
+                chooser("a", view(24, 0, 0, 3, 0).withUpdate(mixed, new JsonTrafficCodec(), ZONES, 0));
         for (int key = 0; key < 300; key++) {
             assertNotEquals("b0", choose(chooser, query("k" + key)).id());
         }
--- a/src/test/java/org/bulrushwheel/server/edge/EdgeFixture.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeFixture.java
@@ -89,12 +89,12 @@
                 .setEntryInstances(1)
                 .build();
         loop.submit(() -> {
-                    view = view.after(
+                    view = view.withUpdate(
                             nextUpdate,
                             new JsonTrafficCodec(),
                             Map.of("z", "r"),
                             new SystemTimeSource().monotonicMillis());
-                    server.use(view);
+                    server.updateView(view);
                 })
                 .syncUninterruptibly();
     }
--- a/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
@@ -276,7 +276,7 @@
     void requestThatCrashedTwoEndpointsIsNotSentToThird() throws IOException {
         serve(5, (request, connection) -> connection.reset());
         List<PoisonRecord> records = new CopyOnWriteArrayList<>();
-        edge.server().onPoison(records::add);
+        edge.server().setPoisonListener(records::add);
         for (int attempt = 0; attempt < 4; attempt++) {
             edge.call("/read/x", "a" + attempt);
         }
@@ -289,7 +289,7 @@
     void requestThatCrashedEndpointsAtAnotherInstanceIsRefused() throws IOException {
         serve(2, (request, connection) -> connection.reset());
         List<PoisonRecord> records = new CopyOnWriteArrayList<>();
-        edge.server().onPoison(records::add);
+        edge.server().setPoisonListener(records::add);
         edge.call("/read/x", "a1");
         try (EdgeFixture other = new EdgeFixture()) {
             ScriptedEndpoint healthy =
