Divide the entry instances of a region among its zones' callers

Change: EntryAssignment lets zones with many lend some to zones with few of the same region, so that each zone's callers have about as many; the loss of one instance moves at most two.

--- a/src/main/java/org/bulrushwheel/logic/fleet/EntryChoice.java
+++ b/src/main/java/org/bulrushwheel/logic/fleet/EntryChoice.java
@@ -1,13 +1,12 @@
 package org.bulrushwheel.logic.fleet;
 
 import java.util.List;
-import java.util.function.Predicate;
 
 import org.bulrushwheel.model.proto.EntryRecord;
 
 /**
- * Selects the entry instances returned to a caller: those of its zone; if these are too few, those of its region; if
- * the region has none, all.
+ * Selects the entry instances returned to a caller: those that serve its zone; if these are too few, those of its region;
+ * if the region has none, all.
  *
  * <p>Stateless and thread safe.
  */
@@ -20,15 +19,17 @@
 
     /** Returns at most 64 entry instances for a caller in this zone and region. */
     public static List<EntryRecord> forCaller(List<EntryRecord> serving, String zone, String region) {
-        List<EntryRecord> inZone = select(serving, entry -> entry.getZone().equals(zone));
-        if (inZone.size() >= MIN_ENTRIES_IN_ZONE) {
-            return inZone;
+        List<EntryRecord> inRegion = serving.stream()
+                .filter(entry -> entry.getRegion().equals(region))
+                .toList();
+        List<EntryRecord> forZone = EntryAssignment.byZone(inRegion).getOrDefault(zone, List.of());
+        if (forZone.size() >= MIN_ENTRIES_IN_ZONE) {
+            return first(forZone);
         }
-        List<EntryRecord> inRegion = select(serving, entry -> entry.getRegion().equals(region));
-        return inRegion.isEmpty() ? select(serving, entry -> true) : inRegion;
+        return first(inRegion.isEmpty() ? serving : inRegion);
     }
 
-    private static List<EntryRecord> select(List<EntryRecord> serving, Predicate<EntryRecord> wanted) {
-        return serving.stream().filter(wanted).limit(MAX_ENTRIES).toList();
+    private static List<EntryRecord> first(List<EntryRecord> entries) {
+        return entries.stream().limit(MAX_ENTRIES).toList();
     }
 }
