Keep no more connections to an endpoint than this instance's share

Cause: maxConnections of a service was read nowhere; with many entry instances their idle connections together can take all that an endpoint accepts, and it resets what comes beyond.

Change: a connection is closed after use while more than maxConnections / entry instances are open.

Test: EdgeServerTest.idleConnectionsStayWithinTheShareOfThisInstance (1 to 6,700 entry instances).

--- a/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
@@ -30,6 +30,7 @@
 import org.bulrushwheel.model.proto.PoisonRecord;
 import org.bulrushwheel.model.proto.SeenLoad;
 import org.bulrushwheel.model.traffic.Endpoint;
+import org.bulrushwheel.model.traffic.ServicePolicy;
 
 /**
  * State that all exchanges of an entry instance share: the fleet view, connection pools, retry budgets, the registry of
@@ -151,7 +152,20 @@
     EndpointPool poolOf(Endpoint endpoint) {
         return poolsByEndpoint.computeIfAbsent(
                 endpoint.id(),
-                id -> new EndpointPool(Address.parse(endpoint.address()), bootstrap, headerNames, time, link));
+                id -> new EndpointPool(
+                        Address.parse(endpoint.address()),
+                        bootstrap,
+                        headerNames,
+                        time,
+                        link,
+                        () -> maxConnections(endpoint.service())));
+    }
+
+    /** Returns this instance's equal share of the connections that an endpoint accepts from all instances together. */
+    private int maxConnections(String service) {
+        int ofAllInstances =
+                view.policy(service).map(ServicePolicy::maxConnections).orElse(Integer.MAX_VALUE);
+        return Math.max(1, ofAllInstances / view.entryInstances());
     }
 
     WindowedRetryBudget budgetOf(String service) {
--- a/src/main/java/org/bulrushwheel/server/edge/EndpointConnection.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EndpointConnection.java
@@ -40,6 +40,7 @@
     private @Nullable AttemptListener listener;
     private String requestId = "";
     private boolean reusable = true;
+    private boolean countedByPool;
     private boolean mismatchedRequestId;
     private boolean answerBegun;
     private @Nullable HttpResponse head;
@@ -95,6 +96,7 @@
     void close() {
         reusable = false;
         releaseBody();
+        leavePool();
         if (channel != null) {
             channel.close();
         }
@@ -105,6 +107,20 @@
         channel = context.channel();
     }
 
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        countedByPool = true;
+        pool.onOpened();
+        context.fireChannelActive();
+    }
+
+    private void leavePool() {
+        if (countedByPool) {
+            countedByPool = false;
+            pool.onClosed(this);
+        }
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         answerBegun = true;
@@ -127,7 +143,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         fail("connection closed");
-        pool.onClosed(this);
+        leavePool();
     }
 
     @Override
--- a/src/main/java/org/bulrushwheel/server/edge/EndpointPool.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EndpointPool.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -18,7 +19,8 @@
 /**
  * Pool of this instance's connections to one endpoint.
  *
- * <p>Invariant: a connection is reused only while the endpoint is expected to keep it open. Not thread safe: confined
+ * <p>Invariants: a connection is reused only while the endpoint is expected to keep it open; no more connections are kept
+ * than this instance's share of those that the endpoint accepts from all. Not thread safe: confined
  * to one event loop.
  */
 final class EndpointPool {
@@ -36,14 +38,23 @@
     private final TimeSource time;
     private final LinkLoad link;
     private final Deque<EndpointConnection> idleConnections = new ArrayDeque<>();
+    private final IntSupplier maxConnections;
+    private int openConnections;
     private boolean closed;
 
-    EndpointPool(Address address, Bootstrap bootstrap, EdgeHeaders headerNames, TimeSource time, LinkLoad link) {
+    EndpointPool(
+            Address address,
+            Bootstrap bootstrap,
+            EdgeHeaders headerNames,
+            TimeSource time,
+            LinkLoad link,
+            IntSupplier maxConnections) {
         this.address = address;
         this.bootstrap = bootstrap;
         this.headerNames = headerNames;
         this.time = time;
         this.link = link;
+        this.maxConnections = maxConnections;
     }
 
     /**
@@ -73,7 +84,7 @@
     }
 
     void returnConnection(EndpointConnection connection, Optional<Long> keepAliveMillis) {
-        if (closed) {
+        if (closed || openConnections > maxConnections.getAsInt()) {
             connection.close();
             return;
         }
@@ -86,7 +97,12 @@
         link.onReceived(bytes, time.monotonicMillis());
     }
 
+    void onOpened() {
+        openConnections++;
+    }
+
     void onClosed(EndpointConnection connection) {
+        openConnections--;
         idleConnections.remove(connection);
     }
 
--- a/src/test/java/org/bulrushwheel/server/edge/EdgeFixture.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeFixture.java
@@ -86,7 +86,7 @@
     void update(FleetUpdate.Builder update) {
         FleetUpdate nextUpdate = update.setFromRevision(view.revision())
                 .setRevision(view.revision() + 1)
-                .setEntryInstances(1)
+                .setEntryInstances(Math.max(1, update.getEntryInstances()))
                 .build();
         loop.submit(() -> {
                     view = view.withUpdate(
--- a/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
@@ -425,4 +425,36 @@
         assertTrue(edge.call("/read/x", "a1").endsWith("whole"));
         assertTrue(edge.call("/read/x", "a2").endsWith("whole"));
     }
+
+    /** The configuration allows 100 connections to an endpoint, shared by all entry instances. */
+    @ParameterizedTest
+    @CsvSource({"1, 6", "50, 2", "100, 1", "6700, 1"})
+    void idleConnectionsStayWithinTheShareOfThisInstance(int entryInstances, int expected) throws Exception {
+        CountDownLatch allArrived = new CountDownLatch(6);
+        serve(1, (request, connection) -> {
+            allArrived.countDown();
+            allArrived.await(5, TimeUnit.SECONDS);
+            connection.send(ScriptedEndpoint.ok(request, "x"));
+        });
+        edge.update(FleetUpdate.newBuilder().setEntryInstances(entryInstances));
+        List<CompletableFuture<Void>> callers = new ArrayList<>();
+        for (int index = 0; index < 6; index++) {
+            String id = "a" + index;
+            callers.add(CompletableFuture.runAsync(() -> {
+                try {
+                    edge.call("/read/x" + id, id);
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            }));
+        }
+        for (CompletableFuture<Void> caller : callers) {
+            caller.get(10, TimeUnit.SECONDS);
+        }
+        long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(2);
+        while (endpoints.get(0).openConnections() != expected && System.nanoTime() - deadlineNanos < 0) {
+            Thread.sleep(10);
+        }
+        assertEquals(expected, endpoints.get(0).openConnections());
+    }
 }
--- a/src/test/java/org/bulrushwheel/server/edge/ScriptedEndpoint.java
+++ b/src/test/java/org/bulrushwheel/server/edge/ScriptedEndpoint.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Endpoint whose responses are scripted byte by byte by a test. Each connection has its own thread. */
 final class ScriptedEndpoint implements AutoCloseable {
@@ -58,6 +59,7 @@
     private final ServerSocket listener;
     private final Script script;
     private final List<Received> received = new CopyOnWriteArrayList<>();
+    private final AtomicInteger openConnections = new AtomicInteger();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
 
     ScriptedEndpoint(Script script) throws IOException {
@@ -99,7 +101,21 @@
         }
     }
 
+    /** Returns how many connections the other side keeps open. */
+    int openConnections() {
+        return openConnections.get();
+    }
+
     private void serve(Socket socket) throws IOException, InterruptedException {
+        openConnections.incrementAndGet();
+        try {
+            serveUntilClosed(socket);
+        } finally {
+            openConnections.decrementAndGet();
+        }
+    }
+
+    private void serveUntilClosed(Socket socket) throws IOException, InterruptedException {
         InputStream input = new BufferedInputStream(socket.getInputStream());
         Connection connection = new Connection(socket, socket.getOutputStream());
         while (!socket.isClosed()) {
