--- a/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
+++ b/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
@@ -8,6 +8,8 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -73,6 +75,7 @@
     private boolean closing;
     // Set once a response announces the end of the connection: requests behind it count as not read.
     private boolean inputEnded;
+    private boolean receivedBytes;
     private boolean receivedObject;
     private boolean receivingHead;
     private long lastActiveMillis;
@@ -137,13 +140,27 @@
         }
     }
 
+    /** Returns a handler that stands before the decoder, which does not pass on headers until they are complete. */
+    ChannelInboundHandler byteObserver() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext handlerContext, Object message) {
+                // Callers may send empty lines between requests.
+                receivedBytes = receivedBytes
+                        || (message instanceof ByteBuf bytes
+                                && bytes.forEachByte(value -> value == '\r' || value == '\n') >= 0);
+                handlerContext.fireChannelRead(message);
+            }
+        };
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext handlerContext) {
-        // Bytes that complete no request line and headers are not passed on by the decoder.
-        if (!receivedObject && head == null) {
+        if (receivedBytes && !receivedObject && head == null) {
             receivingHead = true;
             lastActiveMillis = context.nowMillis();
         }
+        receivedBytes = false;
         receivedObject = false;
         handlerContext.fireChannelReadComplete();
     }
--- a/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
@@ -116,9 +116,11 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
+                        CallerConnection connection = new CallerConnection(context, EdgeServer.this);
                         channel.pipeline()
+                                .addLast(connection.byteObserver())
                                 .addLast(new HttpServerCodec(decoderConfig()))
-                                .addLast(new CallerConnection(context, EdgeServer.this));
+                                .addLast(connection);
                     }
                 })
                 .bind(settings.listen().toSocketAddress())
--- a/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
@@ -366,6 +366,20 @@
         assertEquals(0, totalReceived());
     }
 
+    @Test
+    void emptyLineBetweenRequestsIsNotTakenForTheBeginningOfHeaders() throws Exception {
+        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "whole")));
+        try (Socket caller = edge.connect()) {
+            caller.getOutputStream().write("\r\n".getBytes(StandardCharsets.ISO_8859_1));
+            // Longer than the header timeout.
+            Thread.sleep(4_000);
+            String request = EdgeFixture.get("/read/x", "a1").replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
+            caller.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            String answer = EdgeFixture.readAll(caller.getInputStream());
+            assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"NONSENSE\r\n\r\n", "GET /read/x HTTP/1.1\r\n\r\n"})
     void malformedRequestIsRejectedAfterTheAnswersToThePrecedingOnes(String malformed) throws IOException {
