--- a/src/main/java/org/bulrushwheel/local/LocalFleet.java
+++ b/src/main/java/org/bulrushwheel/local/LocalFleet.java
@@ -27,6 +27,8 @@
 
     private final Path folder;
     private final FleetInterfaces interfaces;
+    private static final double LOOPBACK_MEGABITS_PER_SECOND = 10_000;
+
     private final List<Integer> ports = LoopbackPorts.free(6);
     private final List<FleetSettings> controlSettings = new ArrayList<>();
     private final List<FleetSettings> entrySettings = new ArrayList<>();
@@ -167,7 +169,7 @@
                 seeds,
                 control ? folder.resolve(name).toString() : null,
                 true,
-                null,
+                LOOPBACK_MEGABITS_PER_SECOND,
                 zones,
                 BOUNDS);
     }
