--- a/src/main/java/org/bulrushwheel/local/LocalFleet.java
+++ b/src/main/java/org/bulrushwheel/local/LocalFleet.java
@@ -23,12 +23,11 @@
  */
 public final class LocalFleet implements AutoCloseable {
     private static final int SEED_COUNT = 3;
+    private static final double LOOPBACK_MEGABITS_PER_SECOND = 10_000;
     private static final FleetBounds BOUNDS = new FleetBounds(3, 10, 0.2, 100, 1.5, 5, 1, 1);
 
     private final Path folder;
     private final FleetInterfaces interfaces;
-    private static final double LOOPBACK_MEGABITS_PER_SECOND = 10_000;
-
     private final List<Integer> ports = LoopbackPorts.free(6);
     private final List<FleetSettings> controlSettings = new ArrayList<>();
     private final List<FleetSettings> entrySettings = new ArrayList<>();
