Let one method apply a difference to the document in force

Cause: FleetState and FleetView each chose the base of a difference in the same words; LinkLoad had a constant that nothing used; a comment of Subscriber said something else than its constant does.

Change: DocumentDeltas.apply(version, document, delta) serves both; behaviour is unchanged.

--- a/src/main/java/org/bulrushwheel/logic/budget/LinkLoad.java
+++ b/src/main/java/org/bulrushwheel/logic/budget/LinkLoad.java
@@ -7,9 +7,6 @@
  * <p>Invariant: constant memory; without a known capacity the link is never busy. Not thread safe.
  */
 public final class LinkLoad {
-    /** Capacity of a link about which nothing is known. */
-    public static final double UNKNOWN_BYTES_PER_SECOND = 0;
-
     private static final long BUCKET_MILLIS = 50;
     private static final int BUCKETS = 8;
     // A large answer alone fills the link for the time that it takes; what follows it waits as long.
@@ -19,7 +16,7 @@
     private final long[] bytes = new long[BUCKETS];
     private final long[] bucketNumbers = new long[BUCKETS];
 
-    /** Creates the load of a link that receives at most this much. */
+    /** Creates the load of a link that receives at most this much; 0 if its capacity is unknown. */
     public LinkLoad(double bytesPerSecond) {
         this.bytesPerSecond = bytesPerSecond;
     }
--- a/src/main/java/org/bulrushwheel/logic/fleet/DocumentDeltas.java
+++ b/src/main/java/org/bulrushwheel/logic/fleet/DocumentDeltas.java
@@ -47,6 +47,19 @@
                 .build();
     }
 
+    /**
+     * Returns the document that results from a delta; empty if it was made from another document than the one in force.
+     *
+     * @param version version of the document in force
+     * @param document document in force
+     */
+    public static Optional<ByteString> apply(long version, ByteString document, DocumentDelta delta) {
+        if (delta.getBaseVersion() == NO_BASE) {
+            return apply(ByteString.EMPTY, delta);
+        }
+        return delta.getBaseVersion() == version ? apply(document, delta) : Optional.empty();
+    }
+
     /** Returns the document that results from the base; empty if the delta was not made from this base. */
     public static Optional<ByteString> apply(ByteString base, DocumentDelta delta) {
         if (delta.getDocumentBytes() > MAX_DOCUMENT_BYTES) {
--- a/src/main/java/org/bulrushwheel/logic/fleet/FleetState.java
+++ b/src/main/java/org/bulrushwheel/logic/fleet/FleetState.java
@@ -58,16 +58,9 @@
     }
 
     private Optional<ByteString> documentOf(ReplaceTraffic change) {
-        if (!change.hasDelta()) {
-            return Optional.of(change.getDocument());
-        }
-        long baseVersion = change.getDelta().getBaseVersion();
-        if (baseVersion == DocumentDeltas.NO_BASE) {
-            return DocumentDeltas.apply(ByteString.EMPTY, change.getDelta());
-        }
-        return baseVersion == traffic.getVersion()
-                ? DocumentDeltas.apply(traffic.getDocument(), change.getDelta())
-                : Optional.empty();
+        return change.hasDelta()
+                ? DocumentDeltas.apply(traffic.getVersion(), traffic.getDocument(), change.getDelta())
+                : Optional.of(change.getDocument());
     }
 
     /** Starts or ends the evacuation of a zone. */
--- a/src/main/java/org/bulrushwheel/logic/fleet/FleetView.java
+++ b/src/main/java/org/bulrushwheel/logic/fleet/FleetView.java
@@ -175,16 +175,9 @@
     }
 
     private Optional<ByteString> documentOf(TrafficDocument update) {
-        if (!update.hasDelta()) {
-            return Optional.of(update.getDocument());
-        }
-        long baseVersion = update.getDelta().getBaseVersion();
-        if (baseVersion == DocumentDeltas.NO_BASE) {
-            return DocumentDeltas.apply(ByteString.EMPTY, update.getDelta());
-        }
-        return baseVersion == trafficVersion()
-                ? DocumentDeltas.apply(trafficDocument, update.getDelta())
-                : Optional.empty();
+        return update.hasDelta()
+                ? DocumentDeltas.apply(trafficVersion(), trafficDocument, update.getDelta())
+                : Optional.of(update.getDocument());
     }
 
     private static TrafficConfiguration parse(ByteString document, TrafficDocumentCodec codec) {
--- a/src/main/java/org/bulrushwheel/logic/fleet/Subscriber.java
+++ b/src/main/java/org/bulrushwheel/logic/fleet/Subscriber.java
@@ -10,7 +10,7 @@
  * with copies. Not thread safe.
  */
 public final class Subscriber {
-    // Until the next hello of an instance that is stopped, its changes still reach it.
+    // Several hellos long, since single ones may be lost.
     private static final long VALID_MILLIS = 2_000;
     private static final long FIRST_RESEND_MILLIS = 1_000;
     private static final int MAX_RESEND_DOUBLINGS = 2;
