Void evacuation orders that their caller has given up

Cause: the frozen instance still held an earlier order that the operator had sent again elsewhere. Orders on evacuations had no version, and whatever was committed last was in force. Change: an order is proposed on the revision of the evacuation that a confirmed leader reported while the caller was still connected, and fails if the evacuation was changed since. This covers the socket, the way to the leader and the repeats of a proposal alike. Related: the leave of an endpoint on the own interface can name its incarnation. Result: LocalFleetTest.orderOfAnOperatorWhoHasLeftIsNotCarriedOut failed on the code before ("the evacuation was ended by an operator who had left") and passes now; FleetAdministrationTest and FleetStateTest pass.

--- a/src/main/java/org/bulrushwheel/control/ControlService.java
+++ b/src/main/java/org/bulrushwheel/control/ControlService.java
@@ -330,6 +330,9 @@
             boolean isKnown = newest.getVersion() == request.getHaveTrafficVersion();
             answer.setTraffic(isKnown ? newest.toBuilder().clearDocument().build() : newest);
         }
+        if (!request.getEvacuationZone().isEmpty()) {
+            answer.setEvacuation(state.fleet().evacuation(request.getEvacuationZone()));
+        }
         return answer.build();
     }
 
--- a/src/main/java/org/bulrushwheel/daemon/DefaultInterfaces.java
+++ b/src/main/java/org/bulrushwheel/daemon/DefaultInterfaces.java
@@ -77,7 +77,7 @@
                         .orElseGet(() -> ApiReply.empty(503)));
             }
             if (call.path().startsWith(EVACUATIONS) && (isPut(call) || isDelete(call))) {
-                return services.setEvacuation(call.path().substring(EVACUATIONS.length()), isPut(call))
+                return services.setEvacuation(call.path().substring(EVACUATIONS.length()), isPut(call), call.caller())
                         .thenApply(DefaultInterfaces::toReply);
             }
             if (call.path().startsWith(ENDPOINTS) && (isPut(call) || isDelete(call))) {
@@ -108,11 +108,10 @@
 
     private static CompletionStage<ApiReply> endpoint(FleetServices services, ApiCall call) {
         String id = call.path().substring(ENDPOINTS.length());
-        if (isDelete(call)) {
-            return services.leave(EndpointLeave.newBuilder().setId(id).build())
-                    .thenApply(DefaultInterfaces::acknowledged);
-        }
         try {
+            if (isDelete(call)) {
+                return services.leave(toLeave(id, call)).thenApply(DefaultInterfaces::acknowledged);
+            }
             return services.announce(toEndpointRecord(id, JSON.readValue(call.body(), Announcement.class)))
                     .thenApply(DefaultInterfaces::acknowledged);
         } catch (IOException | IllegalArgumentException e) {
@@ -120,6 +119,12 @@
         }
     }
 
+    private static EndpointLeave toLeave(String id, ApiCall call) {
+        EndpointLeave.Builder leave = EndpointLeave.newBuilder().setId(id);
+        call.parameter("bornEpochMillis").map(Long::parseLong).ifPresent(leave::setBornEpochMillis);
+        return leave.build();
+    }
+
     private static EndpointRecord toEndpointRecord(String id, Announcement announcement) {
         if (id.isEmpty()
                 || announcement.service() == null
--- a/src/main/java/org/bulrushwheel/daemon/FleetControlDaemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/FleetControlDaemon.java
@@ -29,6 +29,7 @@
 import org.bulrushwheel.model.proto.TrafficDocument;
 import org.bulrushwheel.model.settings.FleetSettings;
 import org.bulrushwheel.server.api.ApiServer;
+import org.bulrushwheel.server.api.CallerPresence;
 import org.bulrushwheel.server.fleet.EndpointRegistry;
 import org.bulrushwheel.server.fleet.EntryDirectory;
 import org.bulrushwheel.server.fleet.FleetAdministration;
@@ -192,8 +193,9 @@
         }
 
         @Override
-        public CompletionStage<FleetAdministration.Outcome> setEvacuation(String zone, boolean active) {
-            return administration.setEvacuation(zone, active);
+        public CompletionStage<FleetAdministration.Outcome> setEvacuation(
+                String zone, boolean active, CallerPresence operator) {
+            return administration.setEvacuation(zone, active, operator);
         }
 
         @Override
--- a/src/main/java/org/bulrushwheel/logic/fleet/FleetState.java
+++ b/src/main/java/org/bulrushwheel/logic/fleet/FleetState.java
@@ -44,10 +44,7 @@
         }
         Optional<ByteString> document = documentOf(change);
         if (document.isEmpty()) {
-            return CommandResult.newBuilder()
-                    .setKind(CommandResult.Kind.BASE_CHANGED)
-                    .setVersion(traffic.getVersion())
-                    .build();
+            return baseChanged();
         }
         traffic = TrafficDocument.newBuilder()
                 .setVersion(change.getVersion())
@@ -63,21 +60,33 @@
                 : Optional.of(change.getDocument());
     }
 
-    /** Starts or ends the evacuation of a zone. */
+    /**
+     * Starts or ends the evacuation of a zone. The result is BASE_CHANGED if that would undo a change made after the
+     * revision that the command is based on.
+     */
     public CommandResult setEvacuation(SetEvacuation change) {
-        ZoneEvacuation current = evacuations.get(change.getZone());
-        if (current == null ? change.getActive() : current.getActive() != change.getActive()) {
-            evacuations.put(
-                    change.getZone(),
-                    ZoneEvacuation.newBuilder()
-                            .setZone(change.getZone())
-                            .setActive(change.getActive())
-                            .setRevision(++revision)
-                            .build());
+        ZoneEvacuation current = evacuation(change.getZone());
+        if (current.getActive() == change.getActive()) {
+            return done();
         }
+        if (change.hasBaseRevision() && change.getBaseRevision() != current.getRevision()) {
+            return baseChanged();
+        }
+        evacuations.put(
+                change.getZone(),
+                current.toBuilder()
+                        .setActive(change.getActive())
+                        .setRevision(++revision)
+                        .build());
         return done();
     }
 
+    /** Returns the evacuation of a zone; its revision is 0 if there was none yet. */
+    public ZoneEvacuation evacuation(String zone) {
+        return evacuations.getOrDefault(
+                zone, ZoneEvacuation.newBuilder().setZone(zone).build());
+    }
+
     /** Applies announcements and leaves of endpoints; outdated ones are ignored. */
     public CommandResult putEndpoints(PutEndpoints change) {
         for (EndpointRecord record : change.getEndpointsList()) {
@@ -179,8 +188,16 @@
     }
 
     private CommandResult done() {
+        return result(CommandResult.Kind.DONE);
+    }
+
+    private CommandResult baseChanged() {
+        return result(CommandResult.Kind.BASE_CHANGED);
+    }
+
+    private CommandResult result(CommandResult.Kind kind) {
         return CommandResult.newBuilder()
-                .setKind(CommandResult.Kind.DONE)
+                .setKind(kind)
                 .setVersion(traffic.getVersion())
                 .build();
     }
--- a/src/main/java/org/bulrushwheel/server/api/ApiCall.java
+++ b/src/main/java/org/bulrushwheel/server/api/ApiCall.java
@@ -13,8 +13,10 @@
  * @param path decoded path
  * @param parameters query parameters
  * @param body complete request body
+ * @param caller whether the caller still waits for the response
  */
-public record ApiCall(String method, String path, Map<String, List<String>> parameters, byte[] body) {
+public record ApiCall(
+        String method, String path, Map<String, List<String>> parameters, byte[] body, CallerPresence caller) {
     /** Returns the first value of a query parameter. */
     public Optional<String> parameter(String name) {
         return parameters.getOrDefault(name, List.of()).stream().findFirst();
--- a/src/main/java/org/bulrushwheel/server/api/ApiServer.java
+++ b/src/main/java/org/bulrushwheel/server/api/ApiServer.java
@@ -112,7 +112,8 @@
                     request.method().name(),
                     target.path(),
                     target.parameters(),
-                    ByteBufUtil.getBytes(request.content())));
+                    ByteBufUtil.getBytes(request.content()),
+                    () -> isWaiting(context.channel())));
             previousResponses = previousResponses.thenCombine(reply, (ignored, ready) -> {
                 write(context, ready, keepAlive);
                 return null;
@@ -125,6 +126,13 @@
             context.close();
         }
 
+        private CompletionStage<Boolean> isWaiting(Channel channel) {
+            CompletableFuture<Boolean> waiting = new CompletableFuture<>();
+            // Event loops run tasks after they have read what has arrived, including the end of a connection.
+            channel.eventLoop().execute(() -> waiting.complete(channel.isActive()));
+            return waiting;
+        }
+
         private CompletionStage<ApiReply> answer(ApiCall call) {
             return handler.handle(call).exceptionally(error -> {
                 metrics.counter("api.calls.failed").inc();
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetAdministration.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetAdministration.java
@@ -25,6 +25,7 @@
 import org.bulrushwheel.model.proto.TrafficDocument;
 import org.bulrushwheel.model.traffic.TrafficConfiguration;
 import org.bulrushwheel.model.traffic.TrafficDocumentCodec;
+import org.bulrushwheel.server.api.CallerPresence;
 
 /**
  * Administrative commands of operators: traffic configurations and zone evacuations.
@@ -105,15 +106,38 @@
                 .build();
     }
 
-    /** Starts or ends the evacuation of a zone. */
-    public CompletionStage<Outcome> setEvacuation(String zone, boolean active) {
-        Command.Builder command = Command.newBuilder()
-                .setSetEvacuation(SetEvacuation.newBuilder().setZone(zone).setActive(active));
-        return propose(
-                command,
-                Decision.of(DecisionKind.ORDER_DECIDED)
-                        .with(DecisionField.ORDER, active ? "evacuate" : "end-evacuation")
-                        .with(DecisionField.ZONE, zone));
+    /**
+     * Starts or ends the evacuation of a zone. The order is void once its operator has given it up: a repeat, and newer
+     * orders after it, may already have been accepted by another instance.
+     *
+     * <p>The revision is read before the operator is asked for, so an order given after the operator has left changes it,
+     * and the proposal fails however long it is delayed.
+     */
+    public CompletionStage<Outcome> setEvacuation(String zone, boolean active, CallerPresence operator) {
+        Decision decision = Decision.of(DecisionKind.ORDER_DECIDED)
+                .with(DecisionField.ORDER, active ? "evacuate" : "end-evacuation")
+                .with(DecisionField.ZONE, zone);
+        ReadRequest request = ReadRequest.newBuilder().setEvacuationZone(zone).build();
+        return client.read(request, READ_TIMEOUT_MILLIS)
+                .thenCompose(answer -> operator.isWaiting().thenCompose(waiting -> {
+                    if (!waiting || answer.isEmpty()) {
+                        record(
+                                decision.with(DecisionField.REASON, waiting ? "no-leader" : "caller-left"),
+                                Outcome.UNKNOWN);
+                        return CompletableFuture.completedFuture(Outcome.UNKNOWN);
+                    }
+                    SetEvacuation change = SetEvacuation.newBuilder()
+                            .setZone(zone)
+                            .setActive(active)
+                            .setBaseRevision(answer.get().getEvacuation().getRevision())
+                            .build();
+                    return client.propose(
+                                    Command.newBuilder()
+                                            .setSetEvacuation(change)
+                                            .build(),
+                                    COMMAND_TIMEOUT_MILLIS)
+                            .thenApply(result -> outcomeOf(result, decision));
+                }));
     }
 
     /**
@@ -133,13 +157,10 @@
                 .map(newest -> newest.getVersion() == base.getVersion() ? base : newest));
     }
 
-    private CompletionStage<Outcome> propose(Command.Builder command, Decision decision) {
-        return client.propose(command.build(), COMMAND_TIMEOUT_MILLIS).thenApply(result -> outcomeOf(result, decision));
-    }
-
     private Outcome outcomeOf(CommandResult result, Decision decision) {
         Outcome outcome = result.getKind() == CommandResult.Kind.DONE ? Outcome.ACCEPTED : Outcome.UNKNOWN;
-        record(decision, outcome);
+        boolean superseded = result.getKind() == CommandResult.Kind.BASE_CHANGED;
+        record(superseded ? decision.with(DecisionField.REASON, "superseded") : decision, outcome);
         return outcome;
     }
 
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetServices.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetServices.java
@@ -8,6 +8,7 @@
 import org.bulrushwheel.model.proto.EndpointLeave;
 import org.bulrushwheel.model.proto.EndpointRecord;
 import org.bulrushwheel.model.proto.TrafficDocument;
+import org.bulrushwheel.server.api.CallerPresence;
 
 /**
  * Operations that a control instance offers to callers, endpoints and operators, independent of the protocol through
@@ -22,8 +23,8 @@
     /** Returns the newest accepted traffic configuration, or empty if no leader could confirm it. */
     CompletionStage<Optional<TrafficDocument>> readTraffic();
 
-    /** Starts or ends the evacuation of a zone. */
-    CompletionStage<FleetAdministration.Outcome> setEvacuation(String zone, boolean active);
+    /** Starts or ends the evacuation of a zone, if the operator still waits for the outcome. */
+    CompletionStage<FleetAdministration.Outcome> setEvacuation(String zone, boolean active, CallerPresence operator);
 
     /** Handles an announcement of an endpoint; completes with whether it is acknowledged. */
     CompletionStage<Boolean> announce(EndpointRecord record);
--- a/src/test/java/org/bulrushwheel/logic/fleet/FleetStateTest.java
+++ b/src/test/java/org/bulrushwheel/logic/fleet/FleetStateTest.java
@@ -51,6 +51,32 @@
                 .build());
     }
 
+    /** Guards against an order that is delayed on its way to the log and undoes a newer one. */
+    @ParameterizedTest
+    @CsvSource({
+        // Evacuated at revision 1, ended at 2, evacuated again at 3; then a change arrives that is based on a revision.
+        "3, false, false, DONE",
+        "1, false, true, BASE_CHANGED",
+        "2, false, true, BASE_CHANGED",
+        "1, true, true, DONE",
+        // Commands of earlier builds have no base.
+        ", false, false, DONE"
+    })
+    void lateChangeOfAnEvacuationDoesNotUndoANewerOne(
+            Long baseRevision, boolean active, boolean expectedActive, CommandResult.Kind expectedResult) {
+        for (boolean earlier : List.of(true, false, true)) {
+            state.setEvacuation(SetEvacuation.newBuilder()
+                    .setZone("z")
+                    .setActive(earlier)
+                    .setBaseRevision(state.evacuation("z").getRevision())
+                    .build());
+        }
+        SetEvacuation.Builder late = SetEvacuation.newBuilder().setZone("z").setActive(active);
+        Optional.ofNullable(baseRevision).ifPresent(late::setBaseRevision);
+        assertEquals(expectedResult, state.setEvacuation(late.build()).getKind());
+        assertEquals(expectedActive, state.evacuation("z").getActive());
+    }
+
     @ParameterizedTest
     @CsvSource({"3, 3, first", "3, 2, first", "3, 4, second"})
     void onlyAHigherVersionReplacesTheTrafficConfiguration(long first, long second, String expected) {
--- a/src/test/java/org/bulrushwheel/server/fleet/LocalFleetTest.java
+++ b/src/test/java/org/bulrushwheel/server/fleet/LocalFleetTest.java
@@ -1,14 +1,21 @@
 package org.bulrushwheel.server.fleet;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 
+import com.sun.net.httpserver.HttpServer;
 import org.bulrushwheel.client.HttpAnswer;
 import org.bulrushwheel.client.HttpCaller;
 import org.bulrushwheel.daemon.DefaultInterfaces;
 import org.bulrushwheel.local.LocalFleet;
+import org.bulrushwheel.model.instance.Address;
 import org.bulrushwheel.model.settings.ZonePlace;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -183,4 +190,89 @@
         eventually("a leave was not acknowledged", () -> delete(1, path) == 200);
         eventually("a repeated leave was not acknowledged", () -> delete(2, path) == 200);
     }
+
+    /**
+     * Guards against orders that are carried out for an operator who has given them up: a control instance that wakes
+     * after a freeze finds the order and the end of its connection together.
+     */
+    @Test
+    void orderOfAnOperatorWhoHasLeftIsNotCarriedOut() throws IOException {
+        try (EchoingEndpoint one = new EchoingEndpoint();
+                EchoingEndpoint other = new EchoingEndpoint()) {
+            eventually("no configuration was accepted", () -> accepted(0, traffic(1, "/read/")));
+            announce("e1", one.address(), "a1");
+            eventually("the endpoint is not used", () -> call() == 200);
+            evacuate(0, "a1");
+            eventually("the zone is not evacuated", () -> call() == 503);
+            for (int control = 0; control < 4; control++) {
+                sendAndLeave(control, "DELETE " + DefaultInterfaces.EVACUATIONS + "a1 HTTP/1.1\r\nHost: c\r\n\r\n");
+            }
+            // Once this endpoint was used and its zone is evacuated, the view is newer than the orders before.
+            announce("e2", other.address(), "b1");
+            eventually("the other endpoint is not used", () -> call() == 200);
+            evacuate(0, "b1");
+            eventually("the evacuation was ended by an operator who had left", () -> call() == 503);
+        }
+    }
+
+    private void announce(String id, String address, String zone) {
+        String record =
+                """
+                {"service": "desk", "address": "%s", "zone": "%s", "slots": 3, "draining": false, "bornEpochMillis": 5,
+                 "sequence": 1, "coldRemainingMillis": 0}
+                """
+                        .formatted(address, zone);
+        eventually(
+                "an endpoint was not registered",
+                () -> put(0, DefaultInterfaces.ENDPOINTS + id, record).status() == 200);
+    }
+
+    private void evacuate(int control, String zone) {
+        eventually(
+                "an evacuation was not acknowledged",
+                () -> put(control, DefaultInterfaces.EVACUATIONS + zone, "").status() == 200);
+    }
+
+    private int call() {
+        Address address = Address.parse(fleet.callerAddress(0));
+        try (Socket socket = new Socket(address.host(), address.port())) {
+            socket.getOutputStream()
+                    .write("GET /read/x HTTP/1.1\r\nHost: host.example\r\nConnection: close\r\n\r\n"
+                            .getBytes(StandardCharsets.US_ASCII));
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            return Integer.parseInt(answer.split(" ")[1]);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void sendAndLeave(int control, String request) throws IOException {
+        Address address = Address.parse(fleet.controlAddress(control));
+        try (Socket socket = new Socket(address.host(), address.port())) {
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        }
+    }
+
+    /** Answers every request with status 200. */
+    private static final class EchoingEndpoint implements AutoCloseable {
+        private final HttpServer server;
+
+        private EchoingEndpoint() throws IOException {
+            server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+            server.createContext("/", exchange -> {
+                exchange.sendResponseHeaders(200, -1);
+                exchange.close();
+            });
+            server.start();
+        }
+
+        private String address() {
+            return "127.0.0.1:" + server.getAddress().getPort();
+        }
+
+        @Override
+        public void close() {
+            server.stop(0);
+        }
+    }
 }
