Reject announcements that no endpoint can have made

Cause: announcements were checked for some types only; every entry instance used whatever record it was sent; the exception of the address was taken for a fault of the caller's connection. Change: one check of records, applied by both interfaces and by the view; ports are checked in Address; a fault inside an exchange ends that request only and is logged. Unreadable leaves end no endpoint. Views in tests and in the model have addresses now, as real ones do.

--- a/src/main/java/org/bulrushwheel/daemon/DefaultInterfaces.java
+++ b/src/main/java/org/bulrushwheel/daemon/DefaultInterfaces.java
@@ -10,6 +10,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.bulrushwheel.logic.fleet.EndpointRecordChecker;
 import org.bulrushwheel.logic.fleet.JsonTrafficCodec;
 import org.bulrushwheel.model.instance.Address;
 import org.bulrushwheel.model.proto.EndpointLeave;
@@ -132,17 +133,21 @@
                 || announcement.zone() == null) {
             throw new IllegalArgumentException("an id, a service, an address and a zone are required");
         }
-        return EndpointRecord.newBuilder()
+        EndpointRecord record = EndpointRecord.newBuilder()
                 .setId(id)
                 .setBornEpochMillis(announcement.bornEpochMillis())
                 .setService(announcement.service())
-                .setAddress(Address.parse(announcement.address()).toString())
+                .setAddress(announcement.address())
                 .setZone(announcement.zone())
                 .setSlots(announcement.slots())
                 .setState(announcement.draining() ? State.DRAINING : State.READY)
                 .setSequence(announcement.sequence())
                 .setColdRemainingMillis(announcement.coldRemainingMillis())
                 .build();
+        EndpointRecordChecker.fault(record).ifPresent(fault -> {
+            throw new IllegalArgumentException(fault);
+        });
+        return record;
     }
 
     private static ApiReply entries(FleetServices services, ApiCall call) {
--- a/src/main/java/org/bulrushwheel/logic/fleet/FleetView.java
+++ b/src/main/java/org/bulrushwheel/logic/fleet/FleetView.java
@@ -22,7 +22,7 @@
  * An entry instance's view of the fleet at one revision.
  *
  * <p>Invariant: a view is only replaced by one of a higher revision, so a change in force is never undone by an older
- * update. Immutable and thread safe.
+ * update; it contains no record that cannot be used. Immutable and thread safe.
  */
 public final class FleetView {
     private final long revision;
@@ -98,7 +98,9 @@
         Optional<RouteTable> nextRoutes = hasNewerTraffic ? nextTraffic.map(RouteTable::new) : routes;
         Map<String, Endpoint> nextEndpoints = new HashMap<>(isFullUpdate ? Map.of() : endpoints);
         for (EndpointRecord record : update.getEndpointsList()) {
-            if (record.getState() == EndpointRecord.State.READY) {
+            boolean isUsable = record.getState() == EndpointRecord.State.READY
+                    && EndpointRecordChecker.fault(record).isEmpty();
+            if (isUsable) {
                 nextEndpoints.put(record.getId(), endpointOf(record, regionsByZone, nowMillis));
             } else {
                 nextEndpoints.remove(record.getId());
--- a/src/main/java/org/bulrushwheel/measure/affinity/AffinityRun.java
+++ b/src/main/java/org/bulrushwheel/measure/affinity/AffinityRun.java
@@ -30,6 +30,7 @@
  */
 public final class AffinityRun {
     private static final String SERVICE = "desk";
+    private static final String ADDRESS = "10.0.0.1:80";
     private static final double RUN_MILLIS = 40_000;
     private static final double WARM_UP_MILLIS = 8_000;
     private static final double NETWORK_MILLIS = 8;
@@ -108,6 +109,7 @@
                 update.addEndpoints(EndpointRecord.newBuilder()
                         .setId(id)
                         .setService(SERVICE)
+                        .setAddress(ADDRESS)
                         .setZone("z" + region)
                         .setSlots(workload.slots()));
             }
--- a/src/main/java/org/bulrushwheel/model/instance/Address.java
+++ b/src/main/java/org/bulrushwheel/model/instance/Address.java
@@ -11,6 +11,15 @@
  * @param port TCP port
  */
 public record Address(String host, int port) {
+    private static final int MAX_PORT = 65_535;
+
+    /** Checks the port; 0 stands for any free port. */
+    public Address {
+        if (port < 0 || port > MAX_PORT) {
+            throw new IllegalArgumentException("port " + port + " does not exist; use one from 1 to " + MAX_PORT);
+        }
+    }
+
     /** Parses {@code host:port}. */
     public static Address parse(String text) {
         int colon = text.lastIndexOf(':');
--- a/src/main/java/org/bulrushwheel/server/api/ApiServer.java
+++ b/src/main/java/org/bulrushwheel/server/api/ApiServer.java
@@ -41,6 +41,7 @@
     // Limit for documents sent by operators.
     private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
     private static final int BACKLOG = 512;
+    private static final int BAD_REQUEST = 400;
 
     private final String name;
     private final Address listen;
@@ -134,13 +135,27 @@
         }
 
         private CompletionStage<ApiReply> answer(ApiCall call) {
-            return handler.handle(call).exceptionally(error -> {
+            return handle(call).whenComplete(this::countRejected).exceptionally(error -> {
                 metrics.counter("api.calls.failed").inc();
                 LOGGER.warn("request failed interface={} path={}", name, call.path(), error);
                 return ApiReply.text(503, "failed; send it again\n");
             });
         }
 
+        private CompletionStage<ApiReply> handle(ApiCall call) {
+            try {
+                return handler.handle(call);
+            } catch (RuntimeException e) {
+                return CompletableFuture.failedFuture(e);
+            }
+        }
+
+        private void countRejected(@Nullable ApiReply reply, @Nullable Throwable error) {
+            if (reply != null && reply.status() == BAD_REQUEST) {
+                metrics.counter("api.calls.rejected").inc();
+            }
+        }
+
         private void write(ChannelHandlerContext context, ApiReply reply, boolean keepAlive) {
             FullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1,
--- a/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
+++ b/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
@@ -1,5 +1,6 @@
 package org.bulrushwheel.server.edge;
 
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -32,6 +33,8 @@
 import org.bulrushwheel.model.traffic.CallerLimits;
 import org.bulrushwheel.model.traffic.TrafficConfiguration;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One connection of a caller. Pipelined requests are processed concurrently; their responses are written in the order
@@ -41,6 +44,7 @@
  * nothing is written after a response that closes the connection. Not thread safe: confined to its event loop.
  */
 final class CallerConnection extends ChannelDuplexHandler {
+    private static final Logger LOGGER = LoggerFactory.getLogger(CallerConnection.class);
     // Further pipelined requests stay unread in the socket buffer.
     private static final int MAX_PIPELINED_REQUESTS = 16;
     // Callers may reuse a connection until just before the idle timeout.
@@ -126,6 +130,9 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
         context.count("edge.callers.failed");
+        if (!(cause instanceof IOException)) {
+            LOGGER.error("closing the connection of a caller after an internal error", cause);
+        }
         handlerContext.close();
     }
 
--- a/src/main/java/org/bulrushwheel/server/edge/Exchange.java
+++ b/src/main/java/org/bulrushwheel/server/edge/Exchange.java
@@ -19,6 +19,8 @@
 import org.bulrushwheel.model.traffic.RouteKind;
 import org.bulrushwheel.model.traffic.TrafficRoute;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Processing of one request of a caller, from routing to the final response, including retries.
@@ -29,6 +31,8 @@
  * one event loop.
  */
 final class Exchange {
+    private static final Logger LOGGER = LoggerFactory.getLogger(Exchange.class);
+
     /** Outcome reason of a request for which an endpoint's response was passed on. */
     static final String ANSWERED = "answered";
 
@@ -81,6 +85,10 @@
     }
 
     void start() {
+        guard(this::begin);
+    }
+
+    private void begin() {
         FleetView view = context.view();
         if (view.routes().isEmpty()) {
             finish(
@@ -133,9 +141,31 @@
     }
 
     private void attempt() {
-        if (finished) {
-            return;
+        if (!finished) {
+            guard(this::startAttempt);
         }
+    }
+
+    /** Runs a step, so that a fault of this instance ends this request only and not others of its connection. */
+    private void guard(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            LOGGER.error("internal error request={} service={}", requestId(), service, e);
+            mayHaveRun = mayHaveRun || currentConnection != null;
+            abortCurrent();
+            if (currentEndpoint != null) {
+                endAttempt(currentEndpoint);
+            }
+            finish(
+                    mayHaveRun
+                            ? EdgeAnswer.localReply(502, "this instance has failed; the request may have run")
+                            : EdgeAnswer.localReply(503, "this instance has failed; not run"),
+                    "internal-error");
+        }
+    }
+
+    private void startAttempt() {
         long nowMillis = context.nowMillis();
         if (deadlineMillis - nowMillis < MIN_ATTEMPT_MILLIS) {
             onDeadline();
--- a/src/main/java/org/bulrushwheel/server/upstreams/UpstreamHandler.java
+++ b/src/main/java/org/bulrushwheel/server/upstreams/UpstreamHandler.java
@@ -10,6 +10,7 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Methods;
+import org.bulrushwheel.logic.fleet.EndpointRecordChecker;
 import org.bulrushwheel.logic.settings.RecordShape;
 import org.bulrushwheel.logic.time.TimeSource;
 import org.bulrushwheel.model.instance.Address;
@@ -30,7 +31,6 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int MAX_BODY_BYTES = 4 * 1024;
-    private static final int MAX_SLOTS = 100_000;
     private static final long MAX_VALIDITY_MILLIS = 60_000;
 
     private static final String NO_ADDRESS = "0.0.0.0:0";
@@ -102,8 +102,8 @@
 
     private void announce(HttpServerExchange exchange, String service, String endpoint, Announcement announcement) {
         Address.parse(announcement.address());
-        if (announcement.slots() <= 0 || announcement.slots() > MAX_SLOTS) {
-            refuse(exchange, "slots must be from 1 to " + MAX_SLOTS);
+        if (announcement.slots() <= 0 || announcement.slots() > EndpointRecordChecker.MAX_SLOTS) {
+            refuse(exchange, "slots must be from 1 to " + EndpointRecordChecker.MAX_SLOTS);
             return;
         }
         long now = time.epochMillis();
--- a/src/test/java/org/bulrushwheel/logic/fleet/FleetViewTest.java
+++ b/src/test/java/org/bulrushwheel/logic/fleet/FleetViewTest.java
@@ -36,6 +36,7 @@
         return EndpointRecord.newBuilder()
                 .setId(id)
                 .setService("desk")
+                .setAddress("10.0.0.1:80")
                 .setZone("z")
                 .setSlots(1)
                 .build();
--- a/src/test/java/org/bulrushwheel/logic/placement/EndpointChooserTest.java
+++ b/src/test/java/org/bulrushwheel/logic/placement/EndpointChooserTest.java
@@ -63,6 +63,7 @@
             for (int index = 0; index < endpointsByRegion[region]; index++) {
                 update.addEndpoints(EndpointRecord.newBuilder()
                         .setId(REGIONS.get(region) + index)
+                        .setAddress("10.0.0.1:80")
                         .setService("desk")
                         .setZone(REGIONS.get(region) + "1")
                         .setSlots(4)
@@ -201,6 +202,7 @@
                 .setEntryInstances(24)
                 .addEndpoints(EndpointRecord.newBuilder()
                         .setId("b0")
+                        .setAddress("10.0.0.1:80")
                         .setService("desk")
                         .setZone("b1")
                         .setSlots(4)
--- a/src/test/java/org/bulrushwheel/platform/PlatformTest.java
+++ b/src/test/java/org/bulrushwheel/platform/PlatformTest.java
@@ -3,8 +3,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.bulrushwheel.logic.fleet.TrafficChecker;
 import org.bulrushwheel.model.proto.EndpointRecord;
@@ -97,7 +97,7 @@
 
     @Test
     void heartbeatIsParsedIntoRecord() {
-        EndpointRecord record = HeartbeatReader.read("i-1", bytes(HEARTBEAT)).orElseThrow();
+        EndpointRecord record = HeartbeatReader.read("i-1", bytes(HEARTBEAT)).get();
         assertEquals("i-1", record.getId());
         assertEquals("10.128.0.9:8080", record.getAddress());
         assertEquals(1_250, record.getColdRemainingMillis());
@@ -105,18 +105,78 @@
         assertEquals(State.READY, record.getState());
     }
 
+    /** Guards against heartbeats of other writers that every entry instance takes for an endpoint. */
     @ParameterizedTest
     @CsvSource({
         "'\"slots\":3', '\"slots\":\"3\"'",
         "'\"slots\":3,', ''",
+        "'\"slots\":3', '\"slots\":0'",
+        "'\"slots\":3', '\"slots\":2147483647'",
+        "'\"slots\":3', '\"slots\":99999999999999999999'",
         "'\"state\":\"ready\"', '\"state\":\"resting\"'",
+        "'\"state\":\"ready\"', '\"state\":7'",
         "'\"sequence\":4', '\"sequence\":4.5'",
+        "'\"sequence\":4', '\"sequence\":-4'",
+        "'\"sequence\":4', '\"sequence\":18446744073709551617'",
+        "'\"sequence\":4', '\"sequence\":9223372036854775807'",
         "'\"born\":77', '\"born\":\"yesterday\"'",
+        "'\"born\":77', '\"born\":9223372036854775807'",
+        "'\"coldRemainingS\":1.25,', ''",
+        "'\"coldRemainingS\":1.25', '\"coldRemainingS\":\"1\"'",
+        "'\"coldRemainingS\":1.25', '\"coldRemainingS\":-1'",
+        "'\"coldRemainingS\":1.25', '\"coldRemainingS\":1e300'",
+        "'\"version\":\"v1\",', ''",
+        "'\"version\":\"v1\"', '\"version\":{}'",
+        "'\"zone\":\"north-a\"', '\"zone\":\"\"'",
         "'10.128.0.9:8080', 'nowhere'",
+        "'10.128.0.9:8080', '10.128.0.9:80800'",
+        "'10.128.0.9:8080', '10.128.0.9:0'",
+        "'10.128.0.9:8080', '10.128.0.9:-1'",
+        "'10.128.0.9:8080', '10.128.0.999:80'",
+        "'10.128.0.9:8080', 'endpoint.example:80'",
         "'{\"service\"', '\"service\"'"
     })
     void malformedHeartbeatIsRejected(String original, String replacement) {
-        assertEquals(Optional.empty(), HeartbeatReader.read("i-1", bytes(HEARTBEAT.replace(original, replacement))));
+        assertTrue(HEARTBEAT.contains(original));
+        assertTrue(HeartbeatReader.read("i-1", bytes(HEARTBEAT.replace(original, replacement)))
+                .isLeft());
+    }
+
+    /** Guards against processes that end because of one body that is nested too deeply or too long. */
+    @ParameterizedTest
+    @ValueSource(ints = {10, 900, 100_000})
+    void deeplyNestedBodyIsRejected(int depth) throws InterruptedException {
+        String nested = "[".repeat(depth) + "]".repeat(depth);
+        byte[] heartbeat = bytes(HEARTBEAT.replace("\"north-a\"", nested));
+        byte[] configuration = bytes(CONFIG.replace("unsafe\",1,", "unsafe\"," + nested + ","));
+        AtomicInteger rejected = new AtomicInteger();
+        // The stack of the processes is that small.
+        Thread thread = new Thread(
+                null,
+                () -> {
+                    rejected.addAndGet(HeartbeatReader.read("i-1", heartbeat).isLeft() ? 1 : 0);
+                    rejected.addAndGet(HeartbeatReader.leave("i-1", heartbeat).isLeft() ? 1 : 0);
+                    rejected.addAndGet(
+                            new ConfigDocumentCodec().read(configuration).isLeft() ? 1 : 0);
+                },
+                "small stack",
+                256 * 1024);
+        thread.start();
+        thread.join();
+        // A leave needs only the start of the incarnation, which is readable up to the limit of the parser.
+        assertEquals(depth > 1_000 ? 3 : 2, rejected.get());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"'', 0", "'{}', 0", "'{\"born\":77}', 77"})
+    void leaveNamesItsIncarnationIfKnown(String body, long born) {
+        assertEquals(born, HeartbeatReader.leave("i-1", bytes(body)).get().getBornEpochMillis());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"{", "{\"born\":\"77\"}", "{\"born\":1e3}", "{\"born\":99999999999999999999}"})
+    void unreadableLeaveEndsNoEndpoint(String body) {
+        assertTrue(HeartbeatReader.leave("i-1", bytes(body)).isLeft());
     }
 
     @Test
--- a/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
@@ -471,4 +471,23 @@
         }
         assertEquals(expected, endpoints.get(0).openConnections());
     }
+
+    /**
+     * Guards against callers' connections that are closed because of an endpoint whose record cannot be used; control
+     * instances of earlier builds have accepted such records.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"127.0.0.1:80800", "127.0.0.1", "127.0.0.1:x", ":80", ""})
+    void endpointWithUnusableAddressGetsNoRequests(String address) throws IOException {
+        ScriptedEndpoint sound =
+                endpoint((request, connection) -> connection.send(ScriptedEndpoint.ok(request, "whole")));
+        EndpointRecord usable = EdgeFixture.endpoint("e0", sound);
+        edge.configure(List.of(
+                usable, usable.toBuilder().setId("stray").setAddress(address).build()));
+        for (int index = 0; index < 20; index++) {
+            String requests = EdgeFixture.get("/read/" + index, "a" + index).replace("17", "k" + index)
+                    + EdgeFixture.get("/read/x", "b" + index).replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
+            assertEquals(2, edge.sendRaw(requests).split("HTTP/1.1 200", -1).length - 1);
+        }
+    }
 }
--- a/src/test/java/org/bulrushwheel/server/fleet/LocalFleetTest.java
+++ b/src/test/java/org/bulrushwheel/server/fleet/LocalFleetTest.java
@@ -181,6 +181,9 @@
                         == 200);
         assertEquals(400, put(1, path, "{\"service\": 5").status());
         assertEquals(400, put(1, path, record.formatted("nowhere", "false", 3)).status());
+        assertEquals(
+                400,
+                put(1, path, record.formatted("127.0.0.1:80800", "false", 3)).status());
         assertEquals(400, put(1, path, "{\"service\": \"desk\", \"slots\": 3}").status());
         assertEquals(405, http.get(fleet.controlAddress(1), path).status());
         assertEquals(
