End pipelined connections of a stopping entry instance with an answer

Cause: only an answer with no request behind it closed its connection, so the drain ran into its deadline. Change: once the listener is closed, requests behind pending ones are not read, and the answer to the last pending one closes the connection, also if it is a streamed one whose head was sent before.

--- a/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
+++ b/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
@@ -38,7 +38,7 @@
 
 /**
  * One connection of a caller. Pipelined requests are processed concurrently; their responses are written in the order
- * of the requests.
+ * of the requests. A stopping instance reads no further request while others of the connection are pending.
  *
  * <p>Invariants: a request that must run at most once is started only after all preceding requests have been answered;
  * nothing is written after a response that closes the connection. Not thread safe: confined to its event loop.
@@ -77,7 +77,7 @@
     private @Nullable HttpRequest head;
     private @Nullable ByteBuf body;
     private boolean closing;
-    // Set once a response announces the end of the connection: requests behind it count as not read.
+    // Set once the last request is known: what is behind it counts as not read, and its response closes the connection.
     private boolean inputEnded;
     private boolean receivedBytes;
     private boolean receivedObject;
@@ -194,6 +194,13 @@
     }
 
     private void onHead(HttpRequest request) {
+        if (!server.acceptsConnections() && !pendingRequests.isEmpty()) {
+            // Otherwise a connection that is never idle would be used until the process ends. The answer to the last
+            // pending request closes it, and callers send again what is behind that.
+            inputEnded = true;
+            context.count("edge.unread-while-draining");
+            return;
+        }
         boolean hasTwoLengths = request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
                 && request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
         if (hasTwoLengths || request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
@@ -333,7 +340,8 @@
                 return;
             }
             pendingRequests.pollFirst();
-            if (closesConnection) {
+            // Requests may have been left unread after the head of this answer was sent.
+            if (closesConnection || (inputEnded && pendingRequests.isEmpty())) {
                 writeAndClose(LastHttpContent.EMPTY_LAST_CONTENT);
                 return;
             }
--- a/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
@@ -133,7 +133,7 @@
      * Continues to accept requests until callers have learned from the lookup that this instance is leaving, then
      * closes the listener and waits until no caller is connected, but not beyond the deadline. Until the listener is
      * closed, only a response closes a connection; after that, a connection is also closed once it has been idle for so
-     * long that no request can be on its way.
+     * long that no request can be on its way, and no request is read behind others, so that every connection ends.
      */
     @Override
     public void drain(long deadlineNanos) {
@@ -160,6 +160,11 @@
         return draining;
     }
 
+    /** Whether callers can still open connections; false in the second part of a drain. */
+    boolean acceptsConnections() {
+        return acceptsConnections;
+    }
+
     void onConnectionOpened(CallerConnection connection) {
         connections.add(connection);
     }
--- a/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
@@ -490,4 +490,50 @@
             assertEquals(2, edge.sendRaw(requests).split("HTTP/1.1 200", -1).length - 1);
         }
     }
+
+    /** Guards against requests that are read on connections that never run empty, and cut when the process ends. */
+    @ParameterizedTest
+    @CsvSource({"300, 1, 100", "300, 40000, 100", "3200, 40000, 2600"})
+    void drainEndsConnectionsThatNeverRunEmpty(long answerMillis, int answerBytes, long sendEveryMillis)
+            throws Exception {
+        serve(8, (request, connection) -> {
+            String answer = ScriptedEndpoint.ok(request, "x".repeat(answerBytes));
+            int lastBytes = (answerBytes + 1) / 2;
+            connection.send(answer.substring(0, answer.length() - lastBytes));
+            Thread.sleep(answerMillis);
+            connection.send(answer.substring(answer.length() - lastBytes));
+        });
+        AtomicInteger sent = new AtomicInteger();
+        long lastSendNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(7);
+        try (Socket caller = edge.connect()) {
+            Thread sender = new Thread(() -> {
+                try {
+                    while (System.nanoTime() - lastSendNanos < 0) {
+                        String request = EdgeFixture.get("/read/x", "a" + sent.getAndIncrement());
+                        caller.getOutputStream()
+                                .write(request.replace("1200", "9000").getBytes(StandardCharsets.ISO_8859_1));
+                        Thread.sleep(sendEveryMillis);
+                    }
+                } catch (IOException e) {
+                    // The instance has closed the connection.
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            sender.start();
+            Thread.sleep(200);
+            long startedNanos = System.nanoTime();
+            CompletableFuture<Void> drained = CompletableFuture.runAsync(
+                    () -> edge.server().drain(startedNanos + TimeUnit.MILLISECONDS.toNanos(5_600)));
+            String answers = EdgeFixture.readAll(caller.getInputStream());
+            drained.get(10, TimeUnit.SECONDS);
+            long drainMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
+            sender.interrupt();
+            sender.join();
+            int whole = answers.split("x{" + answerBytes + "}", -1).length - 1;
+            assertTrue(totalReceived() < sent.get(), "the caller sent requests until the end");
+            assertEquals(totalReceived(), whole, "every request that an endpoint received is answered");
+            assertTrue(drainMillis < 5_600, "took " + drainMillis + " ms");
+        }
+    }
 }
