Believe a refusal only if it belongs to the request

Seen (report of other operators, shown by a test): an endpoint repeats an earlier refusal on a kept connection; the next request there was reported as not run while the endpoint ran it. Cause: a response without a request id was taken for the answer to whatever request its connection carried. Change: on a connection that has carried a request before, a refusal without an id breaks the connection and the request may have run. On the path of serve, where responses name no request, such a refusal is reported as unknown.

--- a/src/main/java/org/bulrushwheel/server/edge/AnswerReader.java
+++ b/src/main/java/org/bulrushwheel/server/edge/AnswerReader.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalInt;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 
 /**
@@ -18,12 +19,21 @@
 
     /** Returns whether the endpoint reports that it did not run the request. */
     boolean isNotRun(EdgeAnswer answer) {
-        return isMisdirected(answer) || answer.headers().contains(headerNames.notExecuted());
+        return isNotRun(answer.status(), answer.headers());
+    }
+
+    /** Returns whether a response with this status and these headers reports that the request was not run. */
+    boolean isNotRun(HttpResponseStatus status, HttpHeaders headers) {
+        return isMisdirected(status) || headers.contains(headerNames.notExecuted());
     }
 
     /** Returns whether a different endpoint than the expected one now serves at the address (status 421). */
     boolean isMisdirected(EdgeAnswer answer) {
-        return answer.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+        return isMisdirected(answer.status());
+    }
+
+    private static boolean isMisdirected(HttpResponseStatus status) {
+        return status.code() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
     }
 
     /** Returns whether endpoints sign their responses and this response has no signature header. */
--- a/src/main/java/org/bulrushwheel/server/edge/EndpointConnection.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EndpointConnection.java
@@ -24,8 +24,9 @@
 /**
  * One connection to an endpoint, with at most one request in flight.
  *
- * <p>Invariants: a response is delivered only when it is complete and does not carry the ID of another request; bytes
- * that belong to no request close the connection. Not thread safe: confined to its event loop.
+ * <p>Invariants: a response is delivered only when it is complete and does not carry the ID of another request; a refusal
+ * is delivered only if it cannot be that of an earlier request; bytes that belong to no request close the connection. Not
+ * thread safe: confined to its event loop.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter implements PausableSource {
     // A shorter response is buffered, so that the request can be retried when the response breaks off.
@@ -35,13 +36,16 @@
     private static final int MAX_BODY_COMPONENTS = 1_024;
 
     private final EdgeHeaders headerNames;
+    private final AnswerReader answerReader;
     private final EndpointPool pool;
     private @Nullable Channel channel;
     private @Nullable AttemptListener listener;
     private String requestId = "";
     private boolean reusable = true;
+    private int sentRequests;
     private boolean countedByPool;
     private boolean mismatchedRequestId;
+    private boolean mayBeOfEarlierRequest;
     private boolean answerBegun;
     private @Nullable HttpResponse head;
     private @Nullable CompositeByteBuf body;
@@ -50,6 +54,7 @@
 
     EndpointConnection(EdgeHeaders headerNames, EndpointPool pool) {
         this.headerNames = headerNames;
+        this.answerReader = new AnswerReader(headerNames);
         this.pool = pool;
     }
 
@@ -63,6 +68,7 @@
     }
 
     void send(CallerRequest request, HttpHeaders headers, AttemptListener attemptListener) {
+        sentRequests++;
         listener = attemptListener;
         answerBegun = false;
         requestId = request.header(headerNames.requestId()).orElse("");
@@ -165,6 +171,8 @@
         String answeredRequestId = response.headers().get(headerNames.requestId());
         // A late response to an earlier request can arrive in place of the response to the current one.
         mismatchedRequestId = answeredRequestId != null && !answeredRequestId.equals(requestId);
+        // The first request of a connection is the only one that a response without an ID certainly belongs to.
+        mayBeOfEarlierRequest = answeredRequestId == null && sentRequests > 1;
         releaseBody();
         body = Unpooled.compositeBuffer(MAX_BODY_COMPONENTS);
     }
@@ -245,6 +253,10 @@
             releaseBody();
             return;
         }
+        if (mayBeOfEarlierRequest && answerReader.isNotRun(answerHead.status(), answerHead.headers())) {
+            fail("refusal without a request id on a reused connection");
+            return;
+        }
         ByteBuf fullBody = java.util.Objects.requireNonNull(body);
         body = null;
         AttemptListener receiver = listener;
--- a/src/main/java/org/bulrushwheel/server/gateway/GatewayExchange.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/GatewayExchange.java
@@ -220,6 +220,8 @@
         boolean small = lengthBytes >= 0 && lengthBytes <= GatewayHandler.MAX_BUFFERED_BODY_BYTES;
         boolean isHeadRequest = request.method().equals(Methods.HEAD);
         if (isNotRun(response)) {
+            // Responses name no request: on a reused connection, this may be an earlier refusal that was sent again.
+            earlierAttemptMayHaveRun = earlierAttemptMayHaveRun || attempt.reusedConnection;
             onShed(attempt);
             return;
         }
--- a/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
@@ -536,4 +536,58 @@
             assertTrue(drainMillis < 5_600, "took " + drainMillis + " ms");
         }
     }
+
+    /**
+     * Guards against a refusal that a faulty endpoint repeats on a kept connection: the next request there runs, and
+     * must neither be reported as not run nor be sent to another endpoint.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "/file/x, 503, a1, 200",
+        "/file/x, 503, '', 502",
+        "/file/x, 421, a1, 200",
+        "/file/x, 421, '', 502",
+        "/read/x, 503, a1, 200",
+        "/read/x, 503, '', 502"
+    })
+    void repeatedRefusalIsNotTakenForThatOfTheNextRequest(
+            String path, int refusalStatus, String refusalId, int expectedStatus) throws IOException {
+        String refusal = "HTTP/1.1 " + refusalStatus + " Refused\r\nBulrushwheel-Not-Executed: 1\r\n"
+                + (refusalId.isEmpty() ? "" : "Bulrushwheel-Request-Id: " + refusalId + "\r\n")
+                + "Content-Length: 0\r\n\r\n";
+        serve(1, (request, connection) -> {
+            connection.send(refusal);
+            if (request.header("Bulrushwheel-Request-Id").equals("a2")) {
+                Thread.sleep(50);
+                connection.send(ScriptedEndpoint.ok(request, "whole"));
+            }
+        });
+        assertTrue(edge.call(path, "a1").startsWith("HTTP/1.1 503"));
+        // On the kept connection, where the endpoint would have to be asked again.
+        String answer = edge.call(path, "a2");
+        assertTrue(answer.startsWith("HTTP/1.1 " + expectedStatus), answer);
+        assertEquals(2, totalReceived());
+    }
+
+    /** Guards against an answer that breaks off in its head and reaches the caller as whole, with an empty body. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length: 5\r\n\r\n",
+                "Transfer-Encoding: chunked\r\n\r\n",
+                "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r",
+                "X-Other: 1\r\n\r"
+            })
+    void answerThatEndsInItsHeadIsNotWhole(String rest) throws IOException {
+        String bytes = "HTTP/1.1 200 OK\r\nBulrushwheel-Request-Id: a1\r\n" + rest;
+        AtomicInteger length = new AtomicInteger();
+        serve(1, (request, connection) -> {
+            connection.send(bytes.substring(0, length.get()));
+            connection.socket().close();
+        });
+        for (length.set(1); length.get() <= bytes.length(); length.incrementAndGet()) {
+            String answer = edge.call("/file/" + length.get(), "a1");
+            assertTrue(answer.startsWith("HTTP/1.1 502"), length.get() + " bytes: " + answer);
+        }
+    }
 }
