Split the proposal of an evacuation; let tests share the scripted endpoint

Cause: a nested lambda that is hard to read; three tests brought raw endpoints of their own. Change: methods for the proposal and for a dropped order; ScriptedEndpoint is public and used by the tests of the gateway and of the fleet, with the same assertions.

--- a/src/main/java/org/bulrushwheel/server/fleet/FleetAdministration.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetAdministration.java
@@ -117,29 +117,29 @@
         Decision decision = Decision.of(DecisionKind.ORDER_DECIDED)
                 .with(DecisionField.ORDER, active ? "evacuate" : "end-evacuation")
                 .with(DecisionField.ZONE, zone);
+        SetEvacuation.Builder change = SetEvacuation.newBuilder().setZone(zone).setActive(active);
         ReadRequest request = ReadRequest.newBuilder().setEvacuationZone(zone).build();
         return client.read(request, READ_TIMEOUT_MILLIS)
-                .thenCompose(answer -> operator.isWaiting().thenCompose(waiting -> {
-                    if (!waiting || answer.isEmpty()) {
-                        record(
-                                decision.with(DecisionField.REASON, waiting ? "no-leader" : "caller-left"),
-                                Outcome.UNKNOWN);
-                        return CompletableFuture.completedFuture(Outcome.UNKNOWN);
+                .thenCompose(current -> operator.isWaiting().thenCompose(waiting -> {
+                    if (!waiting) {
+                        return dropped(decision, "caller-left");
                     }
-                    SetEvacuation change = SetEvacuation.newBuilder()
-                            .setZone(zone)
-                            .setActive(active)
-                            .setBaseRevision(answer.get().getEvacuation().getRevision())
-                            .build();
-                    return client.propose(
-                                    Command.newBuilder()
-                                            .setSetEvacuation(change)
-                                            .build(),
-                                    COMMAND_TIMEOUT_MILLIS)
-                            .thenApply(result -> outcomeOf(result, decision));
+                    return current.map(ReadAnswer::getEvacuation)
+                            .map(evacuation -> propose(change.setBaseRevision(evacuation.getRevision()), decision))
+                            .orElseGet(() -> dropped(decision, "no-leader"));
                 }));
     }
 
+    private CompletionStage<Outcome> propose(SetEvacuation.Builder change, Decision decision) {
+        Command command = Command.newBuilder().setSetEvacuation(change).build();
+        return client.propose(command, COMMAND_TIMEOUT_MILLIS).thenApply(result -> outcomeOf(result, decision));
+    }
+
+    private CompletionStage<Outcome> dropped(Decision decision, String reason) {
+        record(decision.with(DecisionField.REASON, reason), Outcome.UNKNOWN);
+        return CompletableFuture.completedFuture(Outcome.UNKNOWN);
+    }
+
     /**
      * Returns the newest accepted document, with version 0 if none was accepted yet, or empty if no leader could
      * confirm it.
--- a/src/test/java/org/bulrushwheel/server/edge/ScriptedEndpoint.java
+++ b/src/test/java/org/bulrushwheel/server/edge/ScriptedEndpoint.java
@@ -17,22 +17,22 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Endpoint whose responses are scripted byte by byte by a test. Each connection has its own thread. */
-final class ScriptedEndpoint implements AutoCloseable {
+public final class ScriptedEndpoint implements AutoCloseable {
     /** A request as received. */
-    record Received(String line, Map<String, String> headers, String body) {
-        String header(String name) {
+    public record Received(String line, Map<String, String> headers, String body) {
+        public String header(String name) {
             return headers.getOrDefault(name.toLowerCase(Locale.ROOT), "");
         }
     }
 
     /** Answers a request on its connection. */
-    interface Script {
+    public interface Script {
         void answer(Received request, Connection connection) throws IOException, InterruptedException;
     }
 
     /** One connection of a caller. */
-    record Connection(Socket socket, OutputStream output) {
-        void send(String bytes) throws IOException {
+    public record Connection(Socket socket, OutputStream output) {
+        public void send(String bytes) throws IOException {
             output.write(bytes.getBytes(StandardCharsets.ISO_8859_1));
             output.flush();
         }
@@ -62,13 +62,13 @@
     private final AtomicInteger openConnections = new AtomicInteger();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
 
-    ScriptedEndpoint(Script script) throws IOException {
+    public ScriptedEndpoint(Script script) throws IOException {
         this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         this.script = script;
         start(this::accept);
     }
 
-    static String ok(Received request, String body) {
+    public static String ok(Received request, String body) {
         return "HTTP/1.1 200 OK\r\nBulrushwheel-Request-Id: " + request.header("Bulrushwheel-Request-Id")
                 + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
@@ -77,11 +77,11 @@
         return "HTTP/1.1 503 Service Unavailable\r\nBulrushwheel-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
     }
 
-    String address() {
+    public String address() {
         return "127.0.0.1:" + listener.getLocalPort();
     }
 
-    List<Received> received() {
+    public List<Received> received() {
         return received;
     }
 
--- a/src/test/java/org/bulrushwheel/server/fleet/LocalFleetTest.java
+++ b/src/test/java/org/bulrushwheel/server/fleet/LocalFleetTest.java
@@ -2,21 +2,19 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 
-import com.sun.net.httpserver.HttpServer;
 import org.bulrushwheel.client.HttpAnswer;
 import org.bulrushwheel.client.HttpCaller;
 import org.bulrushwheel.daemon.DefaultInterfaces;
 import org.bulrushwheel.local.LocalFleet;
 import org.bulrushwheel.model.instance.Address;
 import org.bulrushwheel.model.settings.ZonePlace;
+import org.bulrushwheel.server.edge.ScriptedEndpoint;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -200,8 +198,9 @@
      */
     @Test
     void orderOfAnOperatorWhoHasLeftIsNotCarriedOut() throws IOException {
-        try (EchoingEndpoint one = new EchoingEndpoint();
-                EchoingEndpoint other = new EchoingEndpoint()) {
+        ScriptedEndpoint.Script script = (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x"));
+        try (ScriptedEndpoint one = new ScriptedEndpoint(script);
+                ScriptedEndpoint other = new ScriptedEndpoint(script)) {
             eventually("no configuration was accepted", () -> accepted(0, traffic(1, "/read/")));
             announce("e1", one.address(), "a1");
             eventually("the endpoint is not used", () -> call() == 200);
@@ -255,27 +254,4 @@
             socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
         }
     }
-
-    /** Answers every request with status 200. */
-    private static final class EchoingEndpoint implements AutoCloseable {
-        private final HttpServer server;
-
-        private EchoingEndpoint() throws IOException {
-            server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
-            server.createContext("/", exchange -> {
-                exchange.sendResponseHeaders(200, -1);
-                exchange.close();
-            });
-            server.start();
-        }
-
-        private String address() {
-            return "127.0.0.1:" + server.getAddress().getPort();
-        }
-
-        @Override
-        public void close() {
-            server.stop(0);
-        }
-    }
 }
--- a/src/test/java/org/bulrushwheel/server/gateway/GatewayTest.java
+++ b/src/test/java/org/bulrushwheel/server/gateway/GatewayTest.java
@@ -1,13 +1,8 @@
 package org.bulrushwheel.server.gateway;
 
-import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.InputStreamReader;
-import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -22,6 +17,7 @@
 import org.bulrushwheel.local.LocalDeployment.InstancePlan;
 import org.bulrushwheel.local.TestConfigurations;
 import org.bulrushwheel.model.instance.Address;
+import org.bulrushwheel.server.edge.ScriptedEndpoint;
 import org.bulrushwheel.standin.StandInBehaviour;
 import org.bulrushwheel.standin.StandInUpstream;
 import org.junit.jupiter.api.AfterEach;
@@ -309,15 +305,14 @@
     void answerThatEndsInItsHeadIsNotWhole() throws IOException {
         String bytes = "HTTP/1.1 200 OK\r\nX-Other: 1\r\nContent-Length: 5\r\n\r\n";
         AtomicInteger length = new AtomicInteger();
-        try (RawUpstream upstream = new RawUpstream((count, output) -> {
-            output.write(bytes.substring(0, length.get()).getBytes(StandardCharsets.US_ASCII));
-            return false;
+        try (ScriptedEndpoint upstream = new ScriptedEndpoint((request, connection) -> {
+            connection.send(bytes.substring(0, length.get()));
+            connection.socket().close();
         })) {
             announce("raw", upstream.address());
             for (length.set(1); length.get() <= bytes.length(); length.incrementAndGet()) {
-                String path = "/items/" + length.get();
-                HttpAnswer answer = awaitReceived(upstream, path);
-                assertEquals("unknown", answer.header("Bulrushwheel-Run-State").orElse(""), path);
+                HttpAnswer answer = awaitReceived(upstream, "/items/" + length.get());
+                assertEquals("unknown", answer.header("Bulrushwheel-Run-State").orElse(""), length.get() + " bytes");
             }
         }
     }
@@ -325,12 +320,11 @@
     /** Guards against a refusal that a faulty endpoint repeats on a kept connection, before it runs the next request. */
     @Test
     void repeatedRefusalIsNotTakenForThatOfTheNextRequest() throws IOException {
-        String refusal = "HTTP/1.1 503 Busy\r\nBulrushwheel-Run-State: not-run\r\nContent-Length: 0\r\n\r\n";
-        String answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-        try (RawUpstream upstream = new RawUpstream((count, output) -> {
-            output.write((count == 1 ? answer : refusal).getBytes(StandardCharsets.US_ASCII));
-            return true;
-        })) {
+        AtomicInteger count = new AtomicInteger();
+        try (ScriptedEndpoint upstream = new ScriptedEndpoint((request, connection) -> connection.send(
+                count.getAndIncrement() == 0
+                        ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                        : "HTTP/1.1 503 Busy\r\nBulrushwheel-Run-State: not-run\r\nContent-Length: 0\r\n\r\n"))) {
             announce("raw", upstream.address());
             assertEquals(200, awaitReceived(upstream, "/items/1").status());
             assertRefused(get("/items/2"), "upstream-shed", "unknown");
@@ -351,80 +345,17 @@
     }
 
     /** Sends a request until an endpoint has received it, and returns its answer; before that, there may be no slot. */
-    private HttpAnswer awaitReceived(RawUpstream upstream, String path) {
-        int before = upstream.received();
+    private HttpAnswer awaitReceived(ScriptedEndpoint upstream, String path) {
+        int before = upstream.received().size();
         long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
         HttpAnswer answer = get(path);
-        while (upstream.received() == before) {
+        while (upstream.received().size() == before) {
             assertTrue(System.nanoTime() - deadlineNanos < 0, "no endpoint has received " + path);
             answer = get(path);
         }
         return answer;
     }
 
-    /** An upstream whose responses are raw bytes. */
-    private static final class RawUpstream implements AutoCloseable {
-        /** Writes the response to the request with this number on its connection; returns whether to keep it. */
-        private interface Script {
-            boolean answer(int count, OutputStream output) throws IOException;
-        }
-
-        private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        private final AtomicInteger received = new AtomicInteger();
-
-        private RawUpstream(Script script) throws IOException {
-            Thread thread = new Thread(() -> {
-                try {
-                    while (!listener.isClosed()) {
-                        serve(script, listener.accept());
-                    }
-                } catch (IOException e) {
-                    // The test has closed the listener.
-                }
-            });
-            thread.setDaemon(true);
-            thread.start();
-        }
-
-        private void serve(Script script, Socket socket) {
-            Thread thread = new Thread(() -> {
-                try (socket;
-                        BufferedReader input = new BufferedReader(
-                                new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII))) {
-                    boolean open = true;
-                    for (int count = 1; open; count++) {
-                        String line = input.readLine();
-                        while (line != null && !line.isEmpty()) {
-                            line = input.readLine();
-                        }
-                        if (line == null) {
-                            return;
-                        }
-                        received.incrementAndGet();
-                        open = script.answer(count, socket.getOutputStream());
-                    }
-                } catch (IOException e) {
-                    // The gateway has closed the connection.
-                }
-            });
-            thread.setDaemon(true);
-            thread.start();
-        }
-
-        private String address() {
-            return "127.0.0.1:" + listener.getLocalPort();
-        }
-
-        private int received() {
-            return received.get();
-        }
-
-        @Override
-        public void close() throws IOException {
-            listener.close();
-        }
-    }
-
     private StandInUpstream add(String endpoint) {
         return deployment.addUpstream(StandInBehaviour.plain(SERVICE, endpoint, ZONE, 4, 0));
     }
