Log stalls, applied evacuations, repeated updates and requests cut by a stop

The record of the incident could not tell a frozen process from a blocked disk, nor an evacuation undone on all control instances from one that entry instances had not received; and a stop cut requests without a line.

- evacuation-applied: on each control instance, with the revision
- update-repeated, and the gauge fleet.subscribers.behind
- failed with reason stop-ended: each request that is unanswered when a drain ends

explain puts the first two beside the request. No behaviour of requests or orders has changed.

--- a/src/main/java/org/bulrushwheel/control/ControlService.java
+++ b/src/main/java/org/bulrushwheel/control/ControlService.java
@@ -61,6 +61,7 @@
     private static final long TICK_MILLIS = 50;
     // Space on a full disk is usually freed within seconds, and an attempt to open the storage is cheap.
     private static final long STORAGE_RETRY_DELAY_MILLIS = 500;
+    private static final long MIN_DISK_STALL_MILLIS = 500;
     private static final int MAX_BATCH = 512;
 
     private final ReplicaSettings settings;
@@ -305,7 +306,7 @@
         RaftNode raft = requireNode();
         for (RaftReady ready = raft.takeReady(); !ready.isEmpty(); ready = raft.takeReady()) {
             if (ready.needsStorage()) {
-                requireStorage().store(ready);
+                store(ready);
                 metrics.meter("control.log.syncs").mark();
                 ready.entries()
                         .forEach(entry -> metrics.meter("control.log.bytes").mark(entry.getSerializedSize()));
@@ -319,6 +320,15 @@
         }
     }
 
+    private void store(RaftReady ready) {
+        long startMillis = time.monotonicMillis();
+        requireStorage().store(ready);
+        long tookMillis = time.monotonicMillis() - startMillis;
+        if (tookMillis >= MIN_DISK_STALL_MILLIS) {
+            eventLog.diskStalled(tookMillis);
+        }
+    }
+
     private static ReadAnswer answerRead(ControlState state, ReadRequest request) {
         ReadAnswer.Builder answer = ReadAnswer.newBuilder();
         state.operatorByTokenSha256(request.getTokenSha256()).ifPresent(answer::addOperators);
--- a/src/main/java/org/bulrushwheel/control/ReplicaEventLog.java
+++ b/src/main/java/org/bulrushwheel/control/ReplicaEventLog.java
@@ -41,6 +41,12 @@
         decisions.record(Decision.of(DecisionKind.DEPENDENCY_REGAINED).with(DecisionField.DEPENDENCY, DISK));
     }
 
+    void diskStalled(long stalledMillis) {
+        decisions.record(Decision.of(DecisionKind.STALLED)
+                .with(DecisionField.DEPENDENCY, DISK)
+                .with(DecisionField.STALLED_MILLIS, stalledMillis));
+    }
+
     void voters(Voters voters) {
         decisions.record(Decision.of(DecisionKind.VOTERS_CHANGED)
                 .with(DecisionField.VOTERS, voters.getVotersList() + " learning " + voters.getLearnersList()));
--- a/src/main/java/org/bulrushwheel/daemon/EdgeDaemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/EdgeDaemon.java
@@ -10,6 +10,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.bulrushwheel.kernel.DecisionLog;
 import org.bulrushwheel.kernel.Kernel;
+import org.bulrushwheel.kernel.StallMonitor;
 import org.bulrushwheel.logic.placement.PlacementSettings;
 import org.bulrushwheel.logic.time.SystemTimeSource;
 import org.bulrushwheel.logic.time.TimeSource;
@@ -84,6 +85,7 @@
                 "view.configuration.version", () -> () -> subscription.view().trafficVersion());
         metrics.gauge("view.endpoints", () -> () -> subscription.view().endpointCount());
         metrics.gauge("log.decisions.sampled-out", () -> decisions::sampledOut);
+        kernel.register(new StallMonitor(time, metrics, decisions));
         MetricsListener.register(kernel, settings, loops, metrics);
     }
 
--- a/src/main/java/org/bulrushwheel/daemon/FleetControlDaemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/FleetControlDaemon.java
@@ -17,6 +17,7 @@
 import org.bulrushwheel.control.ReplicaSettings;
 import org.bulrushwheel.kernel.DecisionLog;
 import org.bulrushwheel.kernel.Kernel;
+import org.bulrushwheel.kernel.StallMonitor;
 import org.bulrushwheel.logic.fleet.EntryChoice;
 import org.bulrushwheel.logic.raft.RaftRole;
 import org.bulrushwheel.logic.raft.ReplicaId;
@@ -92,7 +93,7 @@
                 metrics,
                 decisions));
         EntryDirectory directory = new EntryDirectory(time);
-        kernel.register(new FleetPublisher(place(), control, directory, peers, time, metrics));
+        kernel.register(new FleetPublisher(place(), control, directory, peers, time, metrics, decisions));
         kernel.register(new LoadRelay(directory, () -> otherControlInstances(control), peers, time, metrics));
         FleetServices services = new ControlServices(
                 administration(control, client, interfaces, decisions),
@@ -111,12 +112,17 @@
                 loops,
                 interfaces.lookup(services),
                 metrics));
+        registerGauges(metrics, control, directory);
+        kernel.register(new StallMonitor(time, metrics, decisions));
+        MetricsListener.register(kernel, settings, loops, metrics);
+    }
+
+    private static void registerGauges(MetricRegistry metrics, ControlService control, EntryDirectory directory) {
         metrics.gauge("entry-instances.serving", () -> () -> directory.serving().size());
         metrics.gauge("control.leads", () -> () -> control.status().role() == RaftRole.LEADER ? 1 : 0);
         metrics.gauge("control.hears-leader", () -> () -> control.status().hearsLeader() ? 1 : 0);
         metrics.gauge("control.term", () -> () -> control.status().term());
         metrics.gauge("control.commit-index", () -> () -> control.status().commitIndex());
-        MetricsListener.register(kernel, settings, loops, metrics);
     }
 
     /** Starts every service; on the first start of a deployment, its seeds become the initial voters. */
--- a/src/main/java/org/bulrushwheel/logic/decision/RequestAccount.java
+++ b/src/main/java/org/bulrushwheel/logic/decision/RequestAccount.java
@@ -32,6 +32,7 @@
             DecisionKind.CONFIGURATION_IN_FORCE.key(),
             DecisionKind.DEPENDENCY_LOST.key(),
             DecisionKind.DEPENDENCY_REGAINED.key(),
+            DecisionKind.STALLED.key(),
             DecisionKind.STARTED.key(),
             DecisionKind.STOPPING.key());
     private static final Set<String> ENDPOINT_KINDS = Set.of(
@@ -58,9 +59,10 @@
         long to = own.get(own.size() - 1).atEpochMillis() + AFTER_MILLIS;
         Set<String> instances = values(own, DecisionField.INSTANCE);
         Set<String> endpoints = endpointsOf(own);
+        Set<String> zones = values(own, DecisionField.ZONE);
         List<LoggedDecision> background = logged.stream()
                 .filter(decision -> decision.atEpochMillis() >= from && decision.atEpochMillis() <= to)
-                .filter(decision -> isRelated(decision, instances, endpoints))
+                .filter(decision -> isRelated(decision, instances, endpoints, zones))
                 .sorted(Comparator.comparingLong(LoggedDecision::atEpochMillis))
                 .toList();
         return new RequestAccount(own, background);
@@ -109,13 +111,17 @@
                 "%+7d ms  %-22s %s  %s", offset, decision.kind(), decision.value(DecisionField.INSTANCE), inputs);
     }
 
-    private static boolean isRelated(LoggedDecision decision, Set<String> instances, Set<String> endpoints) {
+    private static boolean isRelated(
+            LoggedDecision decision, Set<String> instances, Set<String> endpoints, Set<String> zones) {
         if (!decision.value(DecisionField.REQUEST).isEmpty()) {
             return false;
         }
         if (INSTANCE_KINDS.contains(decision.kind())) {
             return instances.contains(decision.value(DecisionField.INSTANCE));
         }
+        if (decision.kind().equals(DecisionKind.EVACUATION_APPLIED.key())) {
+            return zones.contains(decision.value(DecisionField.ZONE));
+        }
         return ENDPOINT_KINDS.contains(decision.kind())
                 && (endpoints.contains(decision.value(DecisionField.ENDPOINT))
                         || endpoints.stream().anyMatch(decision.value(DecisionField.ENDPOINTS)::contains));
--- a/src/main/java/org/bulrushwheel/logic/fleet/FleetState.java
+++ b/src/main/java/org/bulrushwheel/logic/fleet/FleetState.java
@@ -87,6 +87,11 @@
                 zone, ZoneEvacuation.newBuilder().setZone(zone).build());
     }
 
+    /** Returns the evacuations of all zones that were ever evacuated. */
+    public List<ZoneEvacuation> evacuations() {
+        return List.copyOf(evacuations.values());
+    }
+
     /** Applies announcements and leaves of endpoints; outdated ones are ignored. */
     public CommandResult putEndpoints(PutEndpoints change) {
         for (EndpointRecord record : change.getEndpointsList()) {
--- a/src/main/java/org/bulrushwheel/logic/fleet/Subscriber.java
+++ b/src/main/java/org/bulrushwheel/logic/fleet/Subscriber.java
@@ -44,14 +44,19 @@
 
     /** Records that changes up to a revision are sent. */
     public void onChangesSent(long newRevision, long nowMillis) {
-        lostUpdates = sentRevision > revision ? Math.min(lostUpdates + 1, MAX_RESEND_DOUBLINGS) : 0;
+        lostUpdates = awaitsAcknowledgement() ? Math.min(lostUpdates + 1, MAX_RESEND_DOUBLINGS) : 0;
         sentRevision = newRevision;
         resendAtMillis = nowMillis + (FIRST_RESEND_MILLIS << lostUpdates);
     }
 
+    /** Whether changes were sent that the instance has not acknowledged. */
+    public boolean awaitsAcknowledgement() {
+        return sentRevision > revision;
+    }
+
     /** Whether no changes are on their way, as far as that is known. */
     public boolean mayReceiveChanges(long nowMillis) {
-        return sentRevision <= revision || nowMillis >= resendAtMillis;
+        return !awaitsAcknowledgement() || nowMillis >= resendAtMillis;
     }
 
     /** Whether the instance has not reported for so long that it counts as gone. */
--- a/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
+++ b/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
@@ -450,6 +450,15 @@
         });
     }
 
+    /** Ends the requests that are still unanswered when the process stops. */
+    void endWithProcess() {
+        for (PipelinedRequest pending : pendingRequests) {
+            if (pending.exchange != null) {
+                pending.exchange.endWithProcess();
+            }
+        }
+    }
+
     private void abandon(PipelinedRequest pending) {
         if (pending.answer != null) {
             pending.answer.body().release();
--- a/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
@@ -147,6 +147,8 @@
             loop.submit(this::sweep).awaitUninterruptibly();
             sleepUntil(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DRAIN_POLL_MILLIS), deadlineNanos);
         } while (openConnections > 0 && System.nanoTime() - deadlineNanos < 0);
+        loop.submit(() -> List.copyOf(connections).forEach(CallerConnection::endWithProcess))
+                .awaitUninterruptibly();
     }
 
     @Override
--- a/src/main/java/org/bulrushwheel/server/edge/Exchange.java
+++ b/src/main/java/org/bulrushwheel/server/edge/Exchange.java
@@ -140,6 +140,17 @@
         }
     }
 
+    /** Ends a request that is still unanswered when the process stops. */
+    void endWithProcess() {
+        if (finished) {
+            return;
+        }
+        boolean inFlight = currentConnection != null;
+        abortCurrent();
+        close();
+        trail.completed(NO_STATUS, "stop-ended", mayHaveRun || inFlight, callerLeft);
+    }
+
     private void attempt() {
         if (!finished) {
             guard(this::startAttempt);
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
@@ -14,12 +14,17 @@
 import org.bulrushwheel.logic.fleet.TrafficHistory;
 import org.bulrushwheel.logic.raft.ReplicaId;
 import org.bulrushwheel.logic.time.TimeSource;
+import org.bulrushwheel.model.decision.Decision;
+import org.bulrushwheel.model.decision.DecisionField;
+import org.bulrushwheel.model.decision.DecisionKind;
+import org.bulrushwheel.model.decision.DecisionSink;
 import org.bulrushwheel.model.proto.EntrySummary;
 import org.bulrushwheel.model.proto.FleetHello;
 import org.bulrushwheel.model.proto.FleetUpdate;
 import org.bulrushwheel.model.proto.Frame;
 import org.bulrushwheel.model.proto.PoisonNotice;
 import org.bulrushwheel.model.proto.ReplicaPlace;
+import org.bulrushwheel.model.proto.ZoneEvacuation;
 import org.bulrushwheel.wire.PeerNetwork;
 
 /**
@@ -41,7 +46,10 @@
     private final PeerNetwork peers;
     private final TimeSource time;
     private final ServiceTimer timer;
+    private final DecisionSink decisions;
     private final Map<String, Subscriber> subscribers = new HashMap<>();
+    private final Map<String, ZoneEvacuation> appliedEvacuations = new HashMap<>();
+    private volatile int subscribersBehind;
     private final TrafficHistory trafficHistory = new TrafficHistory();
 
     /** Creates the publisher of a control instance and registers its message handlers. */
@@ -51,13 +59,16 @@
             EntryDirectory directory,
             PeerNetwork peers,
             TimeSource time,
-            MetricRegistry metrics) {
+            MetricRegistry metrics,
+            DecisionSink decisions) {
         this.replicaPlaces = new ReplicaPlaces(self, time);
         this.control = control;
         this.directory = directory;
         this.peers = peers;
         this.time = time;
+        this.decisions = decisions;
         this.timer = new ServiceTimer(NAME, metrics);
+        metrics.gauge("fleet.subscribers.behind", () -> () -> subscribersBehind);
         control.addFleetListener(this::publish);
         peers.handle(Frame.BodyCase.FLEET_HELLO, (frame, reply) -> onHello(frame.getFleetHello()));
         peers.handle(Frame.BodyCase.ENTRY_SUMMARY, (frame, reply) -> onSummary(frame.getEntrySummary()));
@@ -108,18 +119,39 @@
 
     private void publish(FleetState fleet) {
         trafficHistory.add(fleet.traffic());
+        recordEvacuations(fleet);
         long nowMillis = time.monotonicMillis();
         subscribers.values().removeIf(subscriber -> subscriber.isExpired(nowMillis));
+        subscribersBehind = (int) subscribers.values().stream()
+                .filter(Subscriber::awaitsAcknowledgement)
+                .count();
         subscribers.values().stream()
                 .filter(subscriber -> subscriber.mayReceiveChanges(nowMillis))
                 .forEach(subscriber -> sendChanges(subscriber, fleet, nowMillis));
     }
 
+    private void recordEvacuations(FleetState fleet) {
+        for (ZoneEvacuation evacuation : fleet.evacuations()) {
+            ZoneEvacuation previous = appliedEvacuations.put(evacuation.getZone(), evacuation);
+            if (!evacuation.equals(previous)) {
+                decisions.record(Decision.of(DecisionKind.EVACUATION_APPLIED)
+                        .with(DecisionField.ZONE, evacuation.getZone())
+                        .with(DecisionField.STATE, evacuation.getActive() ? "active" : "ended")
+                        .with(DecisionField.VIEW_REVISION, evacuation.getRevision()));
+            }
+        }
+    }
+
     private void sendChanges(Subscriber subscriber, FleetState fleet, long nowMillis) {
         FleetUpdate.Builder update = fleet.changesSince(subscriber.revision()).toBuilder();
         if (update.getHasTraffic()) {
             update.setTraffic(trafficHistory.encode(update.getTraffic(), subscriber.trafficVersion()));
         }
+        if (subscriber.awaitsAcknowledgement()) {
+            decisions.record(Decision.of(DecisionKind.UPDATE_REPEATED)
+                    .with(DecisionField.PEER, subscriber.peer())
+                    .with(DecisionField.VIEW_REVISION, subscriber.revision()));
+        }
         subscriber.onChangesSent(fleet.revision(), nowMillis);
         send(subscriber, update);
     }
