Refuse requests that would outlast a stop, and answer those in flight at its end

Callers of a stopping entry instance saw their connection end without an answer, also for requests that must not be repeated: a request was taken up to 3.2 s after the signal, and whatever endpoints were running at 5.6 s was cut. Nothing on the path of a request knew when the drain ends.

Each attempt now asks whether it ends in time: at its deadline, or as late as the longest recent answer of its route. At the end of the drain, requests that were never sent are refused too; those in flight get 502 instead of a cut.

--- a/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
+++ b/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
@@ -450,9 +451,9 @@
         });
     }
 
-    /** Ends the requests that are still unanswered when the process stops. */
+    /** Answers the requests that are still unanswered when the process stops. */
     void endWithProcess() {
-        for (PipelinedRequest pending : pendingRequests) {
+        for (PipelinedRequest pending : List.copyOf(pendingRequests)) {
             if (pending.exchange != null) {
                 pending.exchange.endWithProcess();
             }
--- a/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
@@ -18,6 +18,7 @@
 import org.bulrushwheel.logic.budget.LinkLoad;
 import org.bulrushwheel.logic.fleet.FleetView;
 import org.bulrushwheel.logic.placement.EndpointChooser;
+import org.bulrushwheel.logic.placement.LongestAnswers;
 import org.bulrushwheel.logic.retry.ConnectPatience;
 import org.bulrushwheel.logic.retry.PoisonRegistry;
 import org.bulrushwheel.logic.retry.WindowedRetryBudget;
@@ -31,6 +32,7 @@
 import org.bulrushwheel.model.proto.SeenLoad;
 import org.bulrushwheel.model.traffic.Endpoint;
 import org.bulrushwheel.model.traffic.ServicePolicy;
+import org.bulrushwheel.model.traffic.TrafficRoute;
 
 /**
  * State that all exchanges of an entry instance share: the fleet view, connection pools, retry budgets, the registry of
@@ -62,6 +64,8 @@
     private final DecisionSink decisionSink;
     private Consumer<PoisonRecord> poisonListener = record -> {};
     private Consumer<List<SeenLoad>> loadListener = loads -> {};
+    private final LongestAnswers longestAnswers = new LongestAnswers();
+    private long stopDeadlineMillis = Long.MAX_VALUE;
     private boolean loadUpdateScheduled;
     private LongSupplier viewAge = () -> 0;
     private FleetView view = FleetView.empty();
@@ -228,6 +232,39 @@
         }
     }
 
+    /** Records how long a request of a route took until it was answered. */
+    void onAnswerTime(TrafficRoute route, long tookMillis) {
+        longestAnswers.record(route.name(), tookMillis, nowMillis());
+    }
+
+    /** Sets the time at which this instance stops and can no longer answer a request. */
+    void setStopDeadline(long newStopDeadlineMillis) {
+        stopDeadlineMillis = newStopDeadlineMillis;
+    }
+
+    /** Returns the time at which this instance stops, or {@link Long#MAX_VALUE} while it is not stopping. */
+    long stopDeadlineMillis() {
+        return stopDeadlineMillis;
+    }
+
+    /**
+     * Whether a request that is sent now ends before this instance stops, if it takes no longer than the recent ones of
+     * its route.
+     *
+     * @param deadlineMillis time at which the request ends at the latest
+     */
+    boolean endsBeforeStop(TrafficRoute route, long deadlineMillis) {
+        if (stopDeadlineMillis == Long.MAX_VALUE) {
+            return true;
+        }
+        long nowMillis = nowMillis();
+        long latestEndMillis = Math.min(
+                deadlineMillis,
+                nowMillis
+                        + longestAnswers.longestMillis(route.name(), nowMillis).orElse(deadlineMillis - nowMillis));
+        return latestEndMillis <= stopDeadlineMillis;
+    }
+
     void updateView(FleetView newView) {
         view = newView;
         chooser.setView(newView);
--- a/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
@@ -138,6 +138,8 @@
     @Override
     public void drain(long deadlineNanos) {
         draining = true;
+        long remainingMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+        loop.execute(() -> context.setStopDeadline(context.nowMillis() + remainingMillis));
         sleepUntil(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LISTEN_WHILE_DRAINING_MILLIS), deadlineNanos);
         if (listener != null) {
             listener.close().awaitUninterruptibly(DRAIN_POLL_MILLIS);
--- a/src/main/java/org/bulrushwheel/server/edge/Exchange.java
+++ b/src/main/java/org/bulrushwheel/server/edge/Exchange.java
@@ -36,12 +36,17 @@
     /** Outcome reason of a request for which an endpoint's response was passed on. */
     static final String ANSWERED = "answered";
 
+    private static final String STOPPING = "stopping";
+    private static final String STOP_ENDED = "stop-ended";
+
     // Grace period after the deadline for a response that the endpoint sent at the deadline and that is still in
     // transit.
     private static final long ANSWER_GRACE_MILLIS = 100;
     private static final long MIN_ATTEMPT_MILLIS = 5;
     private static final int MAX_CONNECT_FAILURES = 5;
     private static final long RETRY_AFTER_NO_VIEW_MILLIS = 500;
+    // Other instances can take the request at once.
+    private static final long RETRY_AFTER_STOPPING_MILLIS = 50;
     // Recorded when no response was sent because the caller disconnected.
     private static final int NO_STATUS = 0;
 
@@ -53,6 +58,7 @@
     private @Nullable TrafficRoute route;
     private String service = "";
     private long deadlineMillis;
+    private long startedMillis;
     private int sentAttempts;
     private int connectFailures;
     private boolean mayHaveRun;
@@ -89,6 +95,7 @@
     }
 
     private void begin() {
+        startedMillis = context.nowMillis();
         FleetView view = context.view();
         if (view.routes().isEmpty()) {
             finish(
@@ -140,15 +147,21 @@
         }
     }
 
-    /** Ends a request that is still unanswered when the process stops. */
+    /** Answers a request that is still unanswered when the process stops. */
     void endWithProcess() {
         if (finished) {
             return;
         }
-        boolean inFlight = currentConnection != null;
+        mayHaveRun = mayHaveRun || currentConnection != null;
+        AnswerStream begun = streamToCaller;
         abortCurrent();
-        close();
-        trail.completed(NO_STATUS, "stop-ended", mayHaveRun || inFlight, callerLeft);
+        if (begun != null) {
+            close();
+            trail.completed(NO_STATUS, STOP_ENDED, true, callerLeft);
+            begun.breakOff();
+        } else {
+            giveUp(STOP_ENDED);
+        }
     }
 
     private void attempt() {
@@ -183,6 +196,10 @@
             return;
         }
         TrafficRoute chosenRoute = java.util.Objects.requireNonNull(route);
+        if (!context.endsBeforeStop(chosenRoute, deadlineMillis)) {
+            giveUp(STOPPING);
+            return;
+        }
         boolean isRetry = sentAttempts > 0;
         if (isRetry && sentAttempts >= chosenRoute.maxAttempts()) {
             giveUp("attempts-spent");
@@ -352,6 +369,7 @@
         }
         endAttempt(endpoint);
         mayHaveRun = true;
+        recordAnswerTime();
         close();
         trail.completed(status, reason, true, callerLeft);
     }
@@ -394,6 +412,12 @@
             finish(answer, reason);
         } else if (mayHaveRun) {
             finish(EdgeAnswer.localReply(502, "no endpoint returned an answer; the request may have run"), reason);
+        } else if (reason.equals(STOPPING) || reason.equals(STOP_ENDED)) {
+            finish(
+                    EdgeAnswer.refusal(
+                            "this instance is stopping; not run, send the request to another instance",
+                            RETRY_AFTER_STOPPING_MILLIS),
+                    reason);
         } else {
             finish(EdgeAnswer.refusal("no endpoint can accept the request now; not run", retryAfterMillis()), reason);
         }
@@ -450,6 +474,7 @@
             return;
         }
         boolean hasCallerLeft = callerLeft;
+        recordAnswerTime();
         close();
         trail.completed(answer.status().code(), reason, mayHaveRun, hasCallerLeft);
         if (hasCallerLeft) {
@@ -459,6 +484,12 @@
         }
     }
 
+    private void recordAnswerTime() {
+        if (sentAttempts > 0) {
+            context.onAnswerTime(java.util.Objects.requireNonNull(route), context.nowMillis() - startedMillis);
+        }
+    }
+
     private void close() {
         if (finished) {
             return;
