Confirm views only while a control instance keeps up with its leader

A control instance told entry instances that their view is current while it heard its leader. One whose disk is full is stopped and reopened every half second, hears the leader again with the first heartbeat and fails at the next entry: contact, but no progress. Entry instances that met such a moment stayed with it, and changes (an evacuation among them) reached them that much later.

A replica counts as up to date until an election time-out after it last had everything that its leader had committed. A deadline is stored, so that a process that wakes from a freeze does not repeat what held before. Views, announcements that change nothing, and the place of an instance in the summaries depend on it; the metric control.up-to-date shows it.

--- a/src/main/java/org/bulrushwheel/control/ControlService.java
+++ b/src/main/java/org/bulrushwheel/control/ControlService.java
@@ -437,6 +437,7 @@
                 raft.voters().getVotersList(),
                 raft.voters().getLearnersList(),
                 raft.hasLeaderContact(),
+                raft.upToDateUntilMillis(),
                 true);
     }
 
--- a/src/main/java/org/bulrushwheel/control/ReplicaStatus.java
+++ b/src/main/java/org/bulrushwheel/control/ReplicaStatus.java
@@ -18,6 +18,7 @@
  * @param voters voting replicas
  * @param learners non-voting replicas that are catching up
  * @param hearsLeader whether it is the leader or has recent contact with one
+ * @param upToDateUntilMillis monotonic time until which it counts as up to date
  * @param running whether the control thread runs and the storage is open
  */
 public record ReplicaStatus(
@@ -30,14 +31,30 @@
         List<String> voters,
         List<String> learners,
         boolean hearsLeader,
+        long upToDateUntilMillis,
         boolean running) {
     /** Status before the first batch. */
     public static final ReplicaStatus STARTING =
-            new ReplicaStatus("", RaftRole.FOLLOWER, 0, "", 0, 0, List.of(), List.of(), false, false);
+            new ReplicaStatus("", RaftRole.FOLLOWER, 0, "", 0, 0, List.of(), List.of(), false, Long.MIN_VALUE, false);
 
     /** Returns this status as that of a stopped replica. */
     public ReplicaStatus stopped() {
         return new ReplicaStatus(
-                replica, RaftRole.FOLLOWER, term, "", commitIndex, appliedIndex, voters, learners, false, false);
+                replica,
+                RaftRole.FOLLOWER,
+                term,
+                "",
+                commitIndex,
+                appliedIndex,
+                voters,
+                learners,
+                false,
+                Long.MIN_VALUE,
+                false);
+    }
+
+    /** Whether the replica has applied what the leader had committed a moment ago. */
+    public boolean isUpToDate(long nowMillis) {
+        return nowMillis < upToDateUntilMillis;
     }
 }
--- a/src/main/java/org/bulrushwheel/daemon/FleetControlDaemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/FleetControlDaemon.java
@@ -112,15 +112,17 @@
                 loops,
                 interfaces.lookup(services),
                 metrics));
-        registerGauges(metrics, control, directory);
+        registerGauges(metrics, control, directory, time);
         kernel.register(new StallMonitor(time, metrics, decisions));
         MetricsListener.register(kernel, settings, loops, metrics);
     }
 
-    private static void registerGauges(MetricRegistry metrics, ControlService control, EntryDirectory directory) {
+    private static void registerGauges(
+            MetricRegistry metrics, ControlService control, EntryDirectory directory, TimeSource time) {
         metrics.gauge("entry-instances.serving", () -> () -> directory.serving().size());
         metrics.gauge("control.leads", () -> () -> control.status().role() == RaftRole.LEADER ? 1 : 0);
         metrics.gauge("control.hears-leader", () -> () -> control.status().hearsLeader() ? 1 : 0);
+        metrics.gauge("control.up-to-date", () -> () -> control.status().isUpToDate(time.monotonicMillis()) ? 1 : 0);
         metrics.gauge("control.term", () -> () -> control.status().term());
         metrics.gauge("control.commit-index", () -> () -> control.status().commitIndex());
     }
--- a/src/main/java/org/bulrushwheel/logic/raft/ElectionTimer.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/ElectionTimer.java
@@ -3,7 +3,8 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Randomized election timeout of a replica, and the time of its last contact with a leader.
+ * Randomized election timeout of a replica, and the times of its last contact with a leader and of its last being up to
+ * date.
  *
  * <p>Not thread safe: owned by one {@link RaftNode}.
  */
@@ -14,6 +15,7 @@
     private final RandomGenerator random;
     private long electionDeadlineMillis;
     private long lastLeaderContactMillis = Long.MIN_VALUE / 2;
+    private long caughtUpMillis = Long.MIN_VALUE / 2;
 
     ElectionTimer(RaftTimings timings, RandomGenerator random, long nowMillis) {
         this.timings = timings;
@@ -35,6 +37,16 @@
         restart(nowMillis);
     }
 
+    /** Records that this follower has everything that its leader had committed. */
+    void recordCaughtUp(long nowMillis) {
+        caughtUpMillis = nowMillis;
+    }
+
+    /** Returns the time until which this follower counts as up to date. */
+    long caughtUpUntilMillis() {
+        return caughtUpMillis + timings.electionTimeoutMillis();
+    }
+
     boolean isElectionDue(long nowMillis) {
         return nowMillis >= electionDeadlineMillis;
     }
--- a/src/main/java/org/bulrushwheel/logic/raft/RaftLog.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/RaftLog.java
@@ -66,6 +66,13 @@
         return start >= end ? List.of() : List.copyOf(entries.subList(start, end));
     }
 
+    /** Appends an entry of a leader after the last one and returns it. */
+    LogEntry appendNext(LogEntry.Builder entry, long term) {
+        LogEntry complete = entry.setTerm(term).setIndex(lastIndex() + 1).build();
+        append(complete);
+        return complete;
+    }
+
     void append(LogEntry entry) {
         entries.add(entry);
     }
--- a/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
@@ -134,8 +134,10 @@
      */
     public Optional<Long> proposeVoters(Voters voters) {
         boolean settled = log.lastVotersIndex() <= commitIndex;
-        boolean termCommitted = log.termAt(commitIndex).orElse(0L) == hardState.getTerm();
-        if (role != RaftRole.LEADER || !settled || !termCommitted || !VoterChanges.isSingle(log.voters(), voters)) {
+        if (role != RaftRole.LEADER
+                || !settled
+                || !hasCommittedInTerm()
+                || !VoterChanges.isSingle(log.voters(), voters)) {
             return Optional.empty();
         }
         return Optional.of(appendAsLeader(LogEntry.newBuilder().setVoters(voters)));
@@ -146,7 +148,7 @@
      * Returns false if this replica is not the leader or has not committed an entry of its term yet.
      */
     public boolean requestRead(long readId) {
-        if (role != RaftRole.LEADER || log.termAt(commitIndex).orElse(0L) != hardState.getTerm()) {
+        if (role != RaftRole.LEADER || !hasCommittedInTerm()) {
             return false;
         }
         round++;
@@ -243,11 +245,24 @@
         return role == RaftRole.LEADER || (leader.isPresent() && electionTimer.hasRecentLeaderContact(nowMillis));
     }
 
+    /**
+     * Returns the monotonic time until which this replica counts as up to date. A follower that hears its leader without
+     * keeping up with it is not.
+     */
+    public long upToDateUntilMillis() {
+        if (role == RaftRole.LEADER) {
+            return hasCommittedInTerm() ? nowMillis + timings.electionTimeoutMillis() : Long.MIN_VALUE;
+        }
+        return electionTimer.caughtUpUntilMillis();
+    }
+
+    private boolean hasCommittedInTerm() {
+        return log.termAt(commitIndex).orElse(0L) == hardState.getTerm();
+    }
+
     /** Voters that have not responded to this leader for the given time. */
     public List<String> votersUnresponsiveFor(long millis) {
-        return log.voters().getVotersList().stream()
-                .filter(voter -> !voter.equals(self) && !tracker.wasActiveWithin(voter, millis, nowMillis))
-                .toList();
+        return tracker.inactiveVoters(log.voters(), millis, nowMillis);
     }
 
     private void tickLeader() {
@@ -278,11 +293,7 @@
             winElection(preVote);
             return;
         }
-        VoteRequest request = VoteRequest.newBuilder()
-                .setPreVote(preVote)
-                .setLastLogIndex(log.lastIndex())
-                .setLastLogTerm(log.lastTerm())
-                .build();
+        VoteRequest request = RaftMessages.voteRequest(preVote, log);
         for (String voter : log.voters().getVotersList()) {
             if (!voter.equals(self)) {
                 outbox.send(message(voter, term).setVoteRequest(request).build());
@@ -319,10 +330,9 @@
             electionTimer.restart(nowMillis);
         }
         long responseTerm = granted ? message.getTerm() : hardState.getTerm();
+        VoteResponse response = RaftMessages.voteResponse(request, granted);
         outbox.send(message(message.getFrom(), responseTerm)
-                .setVoteResponse(VoteResponse.newBuilder()
-                        .setPreVote(request.getPreVote())
-                        .setGranted(granted))
+                .setVoteResponse(response)
                 .build());
     }
 
@@ -355,9 +365,7 @@
 
     private void rejectStaleLeader(RaftMessage message) {
         if (message.hasAppendRequest() || message.hasInstallSnapshot()) {
-            outbox.send(message(message.getFrom(), hardState.getTerm())
-                    .setAppendResponse(AppendResponse.newBuilder().setSuccess(false))
-                    .build());
+            sendResponse(message.getFrom(), AppendResponse.newBuilder().setSuccess(false));
         }
     }
 
@@ -376,12 +384,17 @@
         } else {
             appendAsFollower(request.getEntriesList());
             long last = previous + request.getEntriesCount();
-            commitTo(Math.min(request.getCommitIndex(), last));
+            commitIndex = Math.max(commitIndex, Math.min(request.getCommitIndex(), last));
             response.setSuccess(true).setMatchIndex(last);
         }
-        outbox.send(message(message.getFrom(), hardState.getTerm())
-                .setAppendResponse(response)
-                .build());
+        if (response.getSuccess() && commitIndex >= request.getCommitIndex()) {
+            electionTimer.recordCaughtUp(nowMillis);
+        }
+        sendResponse(message.getFrom(), response);
+    }
+
+    private void sendResponse(String to, AppendResponse.Builder response) {
+        outbox.send(message(to, hardState.getTerm()).setAppendResponse(response).build());
     }
 
     private void appendAsFollower(List<LogEntry> entries) {
@@ -414,12 +427,7 @@
             persistedIndex = commitIndex;
             outbox.install(snapshot);
         }
-        outbox.send(message(message.getFrom(), hardState.getTerm())
-                .setAppendResponse(AppendResponse.newBuilder()
-                        .setSuccess(true)
-                        .setMatchIndex(commitIndex)
-                        .setRound(message.getInstallSnapshot().getRound()))
-                .build());
+        sendResponse(message.getFrom(), RaftMessages.installed(message, commitIndex));
     }
 
     private void onAppendResponse(RaftMessage message) {
@@ -442,9 +450,7 @@
     }
 
     private long appendAsLeader(LogEntry.Builder entry) {
-        LogEntry complete =
-                entry.setTerm(hardState.getTerm()).setIndex(log.lastIndex() + 1).build();
-        log.append(complete);
+        LogEntry complete = log.appendNext(entry, hardState.getTerm());
         outbox.store(complete);
         broadcastPending = true;
         return complete.getIndex();
@@ -467,11 +473,8 @@
         }
         List<LogEntry> entries = log.from(progress.nextIndex(), MAX_ENTRIES_PER_MESSAGE);
         outbox.send(message(peer, hardState.getTerm())
-                .setAppendRequest(AppendRequest.newBuilder()
-                        .setPreviousIndex(previous)
-                        .setPreviousTerm(previousTerm.get())
+                .setAppendRequest(RaftMessages.appendRequest(previous, previousTerm.get(), entries)
                         .setCommitIndex(commitIndex)
-                        .addAllEntries(entries)
                         .setRound(round))
                 .build());
         progress.recordSent(previous + entries.size());
@@ -481,16 +484,16 @@
         if (!progress.tryStartSnapshotSend(nowMillis, timings.electionTimeoutMillis())) {
             return;
         }
+        InstallSnapshot.Builder install = InstallSnapshot.newBuilder().setSnapshot(log.snapshot());
         outbox.send(message(peer, hardState.getTerm())
-                .setInstallSnapshot(
-                        InstallSnapshot.newBuilder().setSnapshot(log.snapshot()).setRound(round))
+                .setInstallSnapshot(install.setRound(round))
                 .build());
     }
 
     private void advanceCommit() {
         long candidate = tracker.majorityMatch(log.voters(), persistedIndex);
         if (candidate > commitIndex && log.termAt(candidate).orElse(0L) == hardState.getTerm()) {
-            commitTo(candidate);
+            commitIndex = candidate;
             if (!isVoter(self)) {
                 becomeFollower(hardState.getTerm(), Optional.empty());
                 return;
@@ -503,10 +506,6 @@
         outbox.confirm(tracker.takeConfirmedReads(log.voters(), round));
     }
 
-    private void commitTo(long index) {
-        commitIndex = Math.max(commitIndex, Math.min(index, log.lastIndex()));
-    }
-
     private void recordLeaderContact(String from) {
         if (role != RaftRole.FOLLOWER) {
             becomeFollower(hardState.getTerm(), Optional.of(from));
--- a/src/main/java/org/bulrushwheel/logic/raft/ReplicationTracker.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/ReplicationTracker.java
@@ -53,6 +53,13 @@
                 .count();
     }
 
+    /** Voters, without the leader, that were not active within the given time. */
+    List<String> inactiveVoters(Voters voters, long withinMillis, long nowMillis) {
+        return voters.getVotersList().stream()
+                .filter(voter -> !voter.equals(self) && !wasActiveWithin(voter, withinMillis, nowMillis))
+                .toList();
+    }
+
     /** Highest index that a majority of voters has synced. */
     long majorityMatch(Voters voters, long ownIndex) {
         return majority(voters, ownIndex, Progress::matchIndex);
--- a/src/main/java/org/bulrushwheel/server/fleet/EndpointRegistry.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/EndpointRegistry.java
@@ -38,7 +38,7 @@
  *
  * <p>Invariants: an announcement that changes the state is acknowledged only after a majority of control replicas has
  * synced it to disk, so that it reaches every entry instance that is in contact with control; an announcement that
- * changes nothing is acknowledged only while this replica is in contact with a leader. Thread safe: the state is read
+ * changes nothing is acknowledged only while this replica is up to date. Thread safe: the state is read
  * on the control thread.
  */
 public final class EndpointRegistry implements KernelService {
@@ -110,7 +110,7 @@
             if (EndpointRecords.isNewer(record, stored)) {
                 propose(PutEndpoints.newBuilder().addEndpoints(record), answer, announcementDecision(record));
             } else {
-                answer.complete(control.status().hearsLeader());
+                answer.complete(control.status().isUpToDate(time.monotonicMillis()));
             }
         });
         return answer;
@@ -128,7 +128,7 @@
                     .filter(stored -> stored.getState() == State.LEFT && EndpointRecords.isOf(leave, stored))
                     .isPresent();
             if (alreadyLeft) {
-                answer.complete(control.status().hearsLeader());
+                answer.complete(control.status().isUpToDate(time.monotonicMillis()));
             } else {
                 propose(
                         PutEndpoints.newBuilder().addLeaves(leave),
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
@@ -158,7 +158,7 @@
 
     private void send(Subscriber subscriber, FleetUpdate.Builder update) {
         ReplicaStatus status = control.status();
-        update.setCurrent(status.hearsLeader())
+        update.setCurrent(status.isUpToDate(time.monotonicMillis()))
                 .setEntryInstances(directory.serving().size());
         status.voters()
                 .forEach(voter -> update.addReplicas(
@@ -181,15 +181,18 @@
     }
 
     private void onSummary(EntrySummary summary) {
-        replicaPlaces.update(summary.getPlace());
+        if (summary.hasPlace()) {
+            replicaPlaces.update(summary.getPlace());
+        }
         summary.getEntriesList().forEach(entry -> directory.update(entry, false));
     }
 
     private void sendSummary() {
-        EntrySummary summary = EntrySummary.newBuilder()
-                .setPlace(replicaPlaces.self())
-                .addAllEntries(directory.reportingDirectly())
-                .build();
+        EntrySummary.Builder summary = EntrySummary.newBuilder().addAllEntries(directory.reportingDirectly());
+        if (control.status().isUpToDate(time.monotonicMillis())) {
+            // Entry instances return to a nearer control instance whose place they know.
+            summary.setPlace(replicaPlaces.self());
+        }
         sendToOtherControls(() -> Frame.newBuilder().setEntrySummary(summary));
     }
 
--- a/src/test/java/org/bulrushwheel/logic/raft/RaftCluster.java
+++ b/src/test/java/org/bulrushwheel/logic/raft/RaftCluster.java
@@ -52,6 +52,7 @@
         ControlState state;
         long applied;
         final Map<Long, String> proposed = new HashMap<>();
+        boolean isDiskFull;
 
         Replica(String id, Voters voters) {
             this.id = id;
@@ -82,6 +83,10 @@
         /** Processes pending work: stores, sends and applies. A simulated crash before or after the sync loses the rest. */
         void processReady(boolean crashBeforeSync, boolean crashAfterSync) {
             for (RaftReady ready = node.takeReady(); !ready.isEmpty(); ready = node.takeReady()) {
+                if (isDiskFull && ready.needsStorage()) {
+                    start();
+                    return;
+                }
                 if (crashBeforeSync) {
                     crash();
                     return;
--- a/src/test/java/org/bulrushwheel/logic/raft/RaftNodeTest.java
+++ b/src/test/java/org/bulrushwheel/logic/raft/RaftNodeTest.java
@@ -142,6 +142,32 @@
         assertEquals(leader.state.snapshot(), down.state.snapshot());
     }
 
+    /** Guards against a replica with a full disk that counts as current because it hears its leader. */
+    @ParameterizedTest
+    @ValueSource(longs = {51, 52, 53, 54})
+    void replicaThatHearsItsLeaderWithoutProgressIsNotUpToDate(long seed) {
+        RaftCluster cluster = new RaftCluster(seed, 3);
+        cluster.runFor(3_000);
+        RaftCluster.Replica full = cluster.replicas.values().stream()
+                .filter(replica -> replica != cluster.leader().orElseThrow())
+                .findFirst()
+                .orElseThrow();
+        assertTrue(cluster.nowMillis < full.node.upToDateUntilMillis());
+        full.isDiskFull = true;
+        int heard = 0;
+        for (int index = 0; index < 100; index++) {
+            cluster.propose("c" + index, claim("key" + index, "c" + index));
+            cluster.runFor(40);
+            heard += full.node.hasLeaderContact() ? 1 : 0;
+            assertTrue(index < 20 || cluster.nowMillis >= full.node.upToDateUntilMillis());
+        }
+        assertTrue(heard > 0, "the replica does not hear its leader");
+        full.isDiskFull = false;
+        cluster.runFor(1_000);
+        assertTrue(cluster.nowMillis < full.node.upToDateUntilMillis());
+        assertEquals(cluster.leader().orElseThrow().applied, full.applied);
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {41, 42, 43, 44, 45, 46, 47, 48})
     void replacedReplicaToleratesLeaderCrashRightAfterwards(long seed) {
