Send changes again at once when their connection is lost

Changes for an entry instance that were lost with a connection were sent again after 1, 2 or 4 s only, though its hellos said all the while that it lacked them, and were answered with a confirmation of its old view. An evacuation could wait behind them.

A connection to a peer has a number now. Changes sent on one that is gone, or that could not be sent at all, no longer count as on their way, and the next hello or change sends them. On a connection that lives TCP delivers them, so the times stay as they are there.

--- a/src/main/java/org/bulrushwheel/logic/fleet/Subscriber.java
+++ b/src/main/java/org/bulrushwheel/logic/fleet/Subscriber.java
@@ -5,9 +5,9 @@
 /**
  * What a control instance knows of an entry instance that receives the changes of the fleet from it.
  *
- * <p>Invariant: changes may be sent only while none are on their way, or when the previous ones have not been
- * acknowledged for so long that they count as lost; that time doubles with each loss, so that a full link is not filled
- * with copies. Not thread safe.
+ * <p>Invariant: changes may be sent only while none are on their way: the previous ones are acknowledged, were lost with
+ * their connection, or count as lost since they have not been acknowledged for long. That time doubles with each loss, so
+ * that a full link is not filled with copies. Not thread safe.
  */
 public final class Subscriber {
     // Several hellos long, since single ones may be lost.
@@ -20,6 +20,7 @@
     private long revision;
     private long trafficVersion;
     private long sentRevision;
+    private long sentConnection;
     private long resendAtMillis;
     private int lostUpdates;
     private long deadlineMillis;
@@ -42,10 +43,15 @@
         }
     }
 
-    /** Records that changes up to a revision are sent. */
-    public void onChangesSent(long newRevision, long nowMillis) {
+    /**
+     * Records that changes up to a revision are sent.
+     *
+     * @param connection number of the connection that carries them
+     */
+    public void onChangesSent(long newRevision, long connection, long nowMillis) {
         lostUpdates = awaitsAcknowledgement() ? Math.min(lostUpdates + 1, MAX_RESEND_DOUBLINGS) : 0;
         sentRevision = newRevision;
+        sentConnection = connection;
         resendAtMillis = nowMillis + (FIRST_RESEND_MILLIS << lostUpdates);
     }
 
@@ -54,9 +60,13 @@
         return sentRevision > revision;
     }
 
-    /** Whether no changes are on their way, as far as that is known. */
-    public boolean mayReceiveChanges(long nowMillis) {
-        return !awaitsAcknowledgement() || nowMillis >= resendAtMillis;
+    /**
+     * Whether no changes are on their way, as far as that is known.
+     *
+     * @param connection number of the connection to the instance
+     */
+    public boolean mayReceiveChanges(long connection, long nowMillis) {
+        return !awaitsAcknowledgement() || connection != sentConnection || nowMillis >= resendAtMillis;
     }
 
     /** Whether the instance has not reported for so long that it counts as gone. */
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
@@ -105,7 +105,8 @@
         long nowMillis = time.monotonicMillis();
         Subscriber subscriber = subscribers.computeIfAbsent(hello.getEntry().getPeerAddress(), Subscriber::new);
         subscriber.onHello(hello, nowMillis);
-        boolean hasChanges = subscriber.mayReceiveChanges(nowMillis) && fleet.revision() > subscriber.revision();
+        boolean hasChanges = subscriber.mayReceiveChanges(peers.connection(subscriber.peer()), nowMillis)
+                && fleet.revision() > subscriber.revision();
         if (hasChanges) {
             sendChanges(subscriber, fleet, nowMillis);
         } else if (!hello.getAcknowledgement()) {
@@ -126,7 +127,7 @@
                 .filter(Subscriber::awaitsAcknowledgement)
                 .count();
         subscribers.values().stream()
-                .filter(subscriber -> subscriber.mayReceiveChanges(nowMillis))
+                .filter(subscriber -> subscriber.mayReceiveChanges(peers.connection(subscriber.peer()), nowMillis))
                 .forEach(subscriber -> sendChanges(subscriber, fleet, nowMillis));
     }
 
@@ -152,8 +153,11 @@
                     .with(DecisionField.PEER, subscriber.peer())
                     .with(DecisionField.VIEW_REVISION, subscriber.revision()));
         }
-        subscriber.onChangesSent(fleet.revision(), nowMillis);
         send(subscriber, update);
+        long connection = peers.connection(subscriber.peer());
+        if (connection != PeerNetwork.NO_CONNECTION) {
+            subscriber.onChangesSent(fleet.revision(), connection, nowMillis);
+        }
     }
 
     private void send(Subscriber subscriber, FleetUpdate.Builder update) {
--- a/src/main/java/org/bulrushwheel/wire/PeerLink.java
+++ b/src/main/java/org/bulrushwheel/wire/PeerLink.java
@@ -16,8 +16,8 @@
 /**
  * Outgoing connection to one peer, opened on demand when a frame is sent and reopened after it was closed.
  *
- * <p>Invariant: at most one connection is open or being opened. Frames may be lost when a connection closes. Thread
- * safe: state is guarded by the intrinsic lock.
+ * <p>Invariants: at most one connection is open or being opened; each has a number of its own. Frames may be lost when a
+ * connection closes, and only then. Thread safe: state is guarded by the intrinsic lock.
  */
 final class PeerLink {
     private static final int MAX_WAITING_FRAMES = 1024;
@@ -29,6 +29,7 @@
     private final ConnectBackoff backoff = new ConnectBackoff();
     private @Nullable Channel channel;
     private boolean connecting;
+    private long connectionNumber;
     private long nextAttemptNanos = System.nanoTime();
 
     PeerLink(Address address, Bootstrap bootstrap, MetricRegistry metrics) {
@@ -50,6 +51,12 @@
         connect();
     }
 
+    /** Returns the number of the connection that is open or being opened, or {@link PeerNetwork#NO_CONNECTION}. */
+    synchronized long connection() {
+        boolean isOpen = channel != null && channel.isActive();
+        return isOpen || connecting ? connectionNumber : PeerNetwork.NO_CONNECTION;
+    }
+
     synchronized void close() {
         if (channel != null) {
             channel.close();
@@ -67,6 +74,7 @@
             return;
         }
         connecting = true;
+        connectionNumber++;
         bootstrap
                 .clone()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, backoff.timeoutMillis())
--- a/src/main/java/org/bulrushwheel/wire/PeerNetwork.java
+++ b/src/main/java/org/bulrushwheel/wire/PeerNetwork.java
@@ -36,6 +36,9 @@
     /** Name under which this service is registered in the kernel. */
     public static final String NAME = "peers";
 
+    /** Returned by {@link #connection} if there is no connection to a peer. */
+    public static final long NO_CONNECTION = 0;
+
     private static final String SENT_BYTES_PREFIX = "peers.bytes.sent.";
     private static final int MAX_FRAME_BYTES = 64 * 1024 * 1024;
     private static final int EVENT_LOOP_THREADS = 2;
@@ -125,6 +128,15 @@
         deliver(peer, complete);
     }
 
+    /**
+     * Returns the number of the connection to a peer that is open or being opened. Frames sent before, while there was
+     * another number or none, are delivered by now or lost.
+     */
+    public long connection(String peer) {
+        PeerLink link = linksByName.get(peer);
+        return link == null ? NO_CONNECTION : link.connection();
+    }
+
     /**
      * Sends a frame and returns a future of the response, which completes exceptionally with {@link
      * PeerUnreachableException} at the timeout.
--- a/src/test/java/org/bulrushwheel/logic/fleet/SubscriberTest.java
+++ b/src/test/java/org/bulrushwheel/logic/fleet/SubscriberTest.java
@@ -11,6 +11,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class SubscriberTest {
+    private static final long CONNECTION = 1;
+
     private final Subscriber subscriber = new Subscriber("peer");
 
     private static FleetHello hello(long incarnation, long revision) {
@@ -23,11 +25,11 @@
     @Test
     void changesFollowOneAnotherOnlyAfterAcknowledgement() {
         subscriber.onHello(hello(1, 5), 0);
-        assertTrue(subscriber.mayReceiveChanges(0));
-        subscriber.onChangesSent(9, 0);
-        assertFalse(subscriber.mayReceiveChanges(100));
+        assertTrue(subscriber.mayReceiveChanges(CONNECTION, 0));
+        subscriber.onChangesSent(9, CONNECTION, 0);
+        assertFalse(subscriber.mayReceiveChanges(CONNECTION, 100));
         subscriber.onHello(hello(1, 9), 200);
-        assertTrue(subscriber.mayReceiveChanges(200));
+        assertTrue(subscriber.mayReceiveChanges(CONNECTION, 200));
         assertEquals(9, subscriber.revision());
     }
 
@@ -40,20 +42,30 @@
             if (now % 300 == 0) {
                 subscriber.onHello(hello(1, 5), now);
             }
-            if (subscriber.mayReceiveChanges(now)) {
-                subscriber.onChangesSent(9, now);
+            if (subscriber.mayReceiveChanges(CONNECTION, now)) {
+                subscriber.onChangesSent(9, CONNECTION, now);
                 copies++;
             }
         }
         assertEquals(expectedCopies, copies);
     }
 
+    /** Guards against changes that are lost with a connection and sent again only seconds later. */
+    @ParameterizedTest
+    @CsvSource({"2, true", "0, true", "1, false"})
+    void changesLostWithTheirConnectionAreSentAgainAtOnce(long connectionNow, boolean expected) {
+        subscriber.onHello(hello(1, 5), 0);
+        subscriber.onChangesSent(9, CONNECTION, 0);
+        subscriber.onHello(hello(1, 5), 300);
+        assertEquals(expected, subscriber.mayReceiveChanges(connectionNow, 300));
+    }
+
     @Test
     void restartedInstanceReceivesItsFirstChangesAtOnce() {
         subscriber.onHello(hello(1, 5), 0);
-        subscriber.onChangesSent(9, 0);
+        subscriber.onChangesSent(9, CONNECTION, 0);
         subscriber.onHello(hello(2, 0), 100);
-        assertTrue(subscriber.mayReceiveChanges(100));
+        assertTrue(subscriber.mayReceiveChanges(CONNECTION, 100));
         assertEquals(0, subscriber.revision());
     }
 
