Send nothing to entry instances that are ahead of a lagging replica

They ignored it, but it filled their links.

A subscriber is sent changes only if the replica has a higher revision. SubscriberTest.replicaThatLagsSendsNothing guards it; with the check left out, its rows for a lower and an equal revision fail.

--- a/src/main/java/org/bulrushwheel/logic/fleet/Subscriber.java
+++ b/src/main/java/org/bulrushwheel/logic/fleet/Subscriber.java
@@ -61,12 +61,15 @@
     }
 
     /**
-     * Whether no changes are on their way, as far as that is known.
+     * Whether the instance lacks changes and none are on their way, as far as that is known.
      *
+     * @param fleetRevision revision up to which changes can be sent; that of a replica that lags may be lower than the
+     *     instance's
      * @param connection number of the connection to the instance
      */
-    public boolean mayReceiveChanges(long connection, long nowMillis) {
-        return !awaitsAcknowledgement() || connection != sentConnection || nowMillis >= resendAtMillis;
+    public boolean mayReceiveChanges(long fleetRevision, long connection, long nowMillis) {
+        boolean areOnTheirWay = awaitsAcknowledgement() && connection == sentConnection && nowMillis < resendAtMillis;
+        return fleetRevision > revision && !areOnTheirWay;
     }
 
     /** Whether the instance has not reported for so long that it counts as gone. */
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
@@ -105,8 +105,7 @@
         long nowMillis = time.monotonicMillis();
         Subscriber subscriber = subscribers.computeIfAbsent(hello.getEntry().getPeerAddress(), Subscriber::new);
         subscriber.onHello(hello, nowMillis);
-        boolean hasChanges = subscriber.mayReceiveChanges(peers.connection(subscriber.peer()), nowMillis)
-                && fleet.revision() > subscriber.revision();
+        boolean hasChanges = mayReceiveChanges(subscriber, fleet, nowMillis);
         if (hasChanges) {
             sendChanges(subscriber, fleet, nowMillis);
         } else if (!hello.getAcknowledgement()) {
@@ -127,10 +126,14 @@
                 .filter(Subscriber::awaitsAcknowledgement)
                 .count();
         subscribers.values().stream()
-                .filter(subscriber -> subscriber.mayReceiveChanges(peers.connection(subscriber.peer()), nowMillis))
+                .filter(subscriber -> mayReceiveChanges(subscriber, fleet, nowMillis))
                 .forEach(subscriber -> sendChanges(subscriber, fleet, nowMillis));
     }
 
+    private boolean mayReceiveChanges(Subscriber subscriber, FleetState fleet, long nowMillis) {
+        return subscriber.mayReceiveChanges(fleet.revision(), peers.connection(subscriber.peer()), nowMillis);
+    }
+
     private void recordEvacuations(FleetState fleet) {
         for (ZoneEvacuation evacuation : fleet.evacuations()) {
             ZoneEvacuation previous = appliedEvacuations.put(evacuation.getZone(), evacuation);
--- a/src/test/java/org/bulrushwheel/logic/fleet/SubscriberTest.java
+++ b/src/test/java/org/bulrushwheel/logic/fleet/SubscriberTest.java
@@ -11,6 +11,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class SubscriberTest {
+    private static final long REVISION = 10;
     private static final long CONNECTION = 1;
 
     private final Subscriber subscriber = new Subscriber("peer");
@@ -25,11 +26,11 @@
     @Test
     void changesFollowOneAnotherOnlyAfterAcknowledgement() {
         subscriber.onHello(hello(1, 5), 0);
-        assertTrue(subscriber.mayReceiveChanges(CONNECTION, 0));
+        assertTrue(subscriber.mayReceiveChanges(REVISION, CONNECTION, 0));
         subscriber.onChangesSent(9, CONNECTION, 0);
-        assertFalse(subscriber.mayReceiveChanges(CONNECTION, 100));
+        assertFalse(subscriber.mayReceiveChanges(REVISION, CONNECTION, 100));
         subscriber.onHello(hello(1, 9), 200);
-        assertTrue(subscriber.mayReceiveChanges(CONNECTION, 200));
+        assertTrue(subscriber.mayReceiveChanges(REVISION, CONNECTION, 200));
         assertEquals(9, subscriber.revision());
     }
 
@@ -42,7 +43,7 @@
             if (now % 300 == 0) {
                 subscriber.onHello(hello(1, 5), now);
             }
-            if (subscriber.mayReceiveChanges(CONNECTION, now)) {
+            if (subscriber.mayReceiveChanges(REVISION, CONNECTION, now)) {
                 subscriber.onChangesSent(9, CONNECTION, now);
                 copies++;
             }
@@ -57,7 +58,15 @@
         subscriber.onHello(hello(1, 5), 0);
         subscriber.onChangesSent(9, CONNECTION, 0);
         subscriber.onHello(hello(1, 5), 300);
-        assertEquals(expected, subscriber.mayReceiveChanges(connectionNow, 300));
+        assertEquals(expected, subscriber.mayReceiveChanges(REVISION, connectionNow, 300));
+    }
+
+    /** Guards against whole states that a lagging replica sends to instances that are ahead of it. */
+    @ParameterizedTest
+    @CsvSource({"4, false", "5, false", "6, true"})
+    void replicaThatLagsSendsNothing(long fleetRevision, boolean expected) {
+        subscriber.onHello(hello(1, 5), 0);
+        assertEquals(expected, subscriber.mayReceiveChanges(fleetRevision, CONNECTION, 0));
     }
 
     @Test
@@ -65,7 +74,7 @@
         subscriber.onHello(hello(1, 5), 0);
         subscriber.onChangesSent(9, CONNECTION, 0);
         subscriber.onHello(hello(2, 0), 100);
-        assertTrue(subscriber.mayReceiveChanges(CONNECTION, 100));
+        assertTrue(subscriber.mayReceiveChanges(REVISION, CONNECTION, 100));
         assertEquals(0, subscriber.revision());
     }
 
