Let replicas that were removed as lost become voters again

A control instance that was down for over 12 s is removed from the voters, and never became one again: the leader sends it nothing, its own log still names it a voter, so it did not request to join, and its pre-votes are ignored while there is a leader.

A voter that hears no leader requests to join as well, from the seeds and the voters that it knows. A leader that has it as a voter ignores the request; one that has removed it adds it as a learner and promotes it once it has caught up. Elections are not touched, so a sound leader is not disturbed.

--- a/src/main/java/org/bulrushwheel/control/ReplicaMembership.java
+++ b/src/main/java/org/bulrushwheel/control/ReplicaMembership.java
@@ -1,5 +1,7 @@
 package org.bulrushwheel.control;
 
+import java.util.stream.Stream;
+
 import org.bulrushwheel.logic.raft.LostVoterRemoval;
 import org.bulrushwheel.logic.raft.RaftNode;
 import org.bulrushwheel.logic.raft.RaftRole;
@@ -11,15 +13,15 @@
 import org.bulrushwheel.wire.PeerNetwork;
 
 /**
- * Manages the voter set: a non-voting replica requests to join, and the leader adds it as a learner, promotes it once it
- * has caught up, and removes voters that stay unresponsive.
+ * Manages the voter set: a replica that is no voter, or may no longer be one, requests to join, and the leader adds it as
+ * a learner, promotes it once it has caught up, and removes voters that stay unresponsive.
  *
  * <p>Not thread safe: owned by the control thread.
  */
 final class ReplicaMembership {
     private static final long JOIN_INTERVAL_MILLIS = 500;
     private static final long REMOVAL_INTERVAL_MILLIS = 1_000;
-    // Longer than any restart. A replica that returns later joins again and reuses its existing log.
+    // Longer than any restart. A replica that returns later requests to join and reuses its existing log.
     private static final long LOST_VOTER_MILLIS = 12_000;
 
     private final ReplicaSettings settings;
@@ -60,11 +62,14 @@
 
     private void requestJoin(RaftNode raft, String replica) {
         long now = time.monotonicMillis();
-        if (raft.voters().getVotersList().contains(replica) || now < nextJoinMillis) {
+        if (!ReplicaReplacement.mustJoin(raft, replica) || now < nextJoinMillis) {
             return;
         }
         nextJoinMillis = now + JOIN_INTERVAL_MILLIS;
-        settings.joinTargets().get().stream()
+        Stream<String> voters = raft.voters().getVotersList().stream()
+                .map(voter -> ReplicaId.parse(voter).instance());
+        Stream.concat(settings.joinTargets().get().stream(), voters)
+                .distinct()
                 .filter(peer -> !peer.equals(settings.instance()))
                 .forEach(peer -> peers.send(
                         peer,
--- a/src/main/java/org/bulrushwheel/logic/raft/ReplicaReplacement.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/ReplicaReplacement.java
@@ -15,6 +15,14 @@
 public final class ReplicaReplacement {
     private ReplicaReplacement() {}
 
+    /**
+     * Whether a replica must request to join. Its own log does not say so if it was removed as lost while it was down: it
+     * is not sent the change, so a voter that hears no leader requests it too.
+     */
+    public static boolean mustJoin(RaftNode raft, String replica) {
+        return !raft.voters().getVotersList().contains(replica) || !raft.hasLeaderContact();
+    }
+
     /**
      * Returns the next change, or empty if no change is due.
      *
--- a/src/test/java/org/bulrushwheel/daemon/FleetProcesses.java
+++ b/src/test/java/org/bulrushwheel/daemon/FleetProcesses.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import org.bulrushwheel.cli.Main;
@@ -42,6 +43,10 @@
     private final HttpCaller http = new HttpCaller();
     private final Path folder;
     private final List<Integer> ports = LoopbackPorts.free(6);
+    // Other runs of the tests on this machine may use the same ports.
+    private final String network = "127."
+            + ThreadLocalRandom.current().nextInt(3, 250) + "."
+            + ThreadLocalRandom.current().nextInt(250) + ".";
     private final List<Process> processes = new ArrayList<>();
     private final List<String> log = new CopyOnWriteArrayList<>();
 
@@ -91,7 +96,10 @@
 
     /** Sends a request to the entry instance and returns the status of the response, 0 if there is none. */
     int call(String path) {
-        return exchange(address(ENTRY, 2), "GET " + path + " HTTP/1.1\r\nHost: host.example", 2_000);
+        return exchange(
+                address(ENTRY, 2),
+                "GET " + path + " HTTP/1.1\r\nHost: host.example\r\nBulrushwheel-Affinity-Key: " + path,
+                2_000);
     }
 
     /** Sends an order on a connection of its own, which is closed if there is no answer in time; whether it is acknowledged. */
@@ -139,7 +147,7 @@
     }
 
     private String address(int index, int listener) {
-        return "127.0.3." + (index + 1) + ":" + ports.get(listener);
+        return network + (index + 1) + ":" + ports.get(listener);
     }
 
     private Process launch(int index) throws IOException {
--- a/src/test/java/org/bulrushwheel/logic/raft/RaftNodeTest.java
+++ b/src/test/java/org/bulrushwheel/logic/raft/RaftNodeTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.bulrushwheel.local.TestConfigurations;
 import org.bulrushwheel.model.proto.AcceptConfiguration;
@@ -142,6 +143,54 @@
         assertEquals(leader.state.snapshot(), down.state.snapshot());
     }
 
+    /** Guards against replicas that never become voters again after they were removed as lost. */
+    @ParameterizedTest
+    @ValueSource(longs = {61, 62, 63, 64, 65, 66, 67, 68})
+    void removedReplicaThatReturnsBecomesAVoterAgain(long seed) {
+        RaftCluster cluster = new RaftCluster(seed, 5);
+        cluster.lossRate = seed % 2 == 0 ? 0 : 0.1;
+        cluster.runFor(3_000);
+        List<RaftCluster.Replica> lost = cluster.replicas.values().stream()
+                .filter(replica -> replica != cluster.leader().orElseThrow())
+                .limit(2)
+                .toList();
+        lost.forEach(RaftCluster.Replica::crash);
+        for (RaftCluster.Replica replica : lost) {
+            Voters rest = cluster.leader().orElseThrow().node.voters();
+            Voters.Builder without = rest.toBuilder().clearVoters();
+            rest.getVotersList().stream().filter(id -> !id.equals(replica.id)).forEach(without::addVoters);
+            assertTrue(cluster.leader()
+                    .orElseThrow()
+                    .node
+                    .proposeVoters(without.build())
+                    .isPresent());
+            cluster.runFor(1_000);
+        }
+        long term = cluster.leader().orElseThrow().node.term();
+        lost.forEach(RaftCluster.Replica::start);
+        for (int step = 0; step < 100; step++) {
+            cluster.runFor(100);
+            lost.stream()
+                    .filter(replica -> ReplicaReplacement.mustJoin(replica.node, replica.id))
+                    .forEach(replica -> requestJoin(cluster, replica.id));
+        }
+        cluster.lossRate = 0;
+        cluster.runFor(2_000);
+        assertEquals(
+                cluster.replicas.keySet(),
+                Set.copyOf(cluster.leader().orElseThrow().node.voters().getVotersList()));
+        assertTrue(seed % 2 != 0 || term == cluster.leader().orElseThrow().node.term(), "the leader was disturbed");
+        assertEveryReplicaHasTheSameState(cluster);
+    }
+
+    private static void requestJoin(RaftCluster cluster, String replica) {
+        cluster.leader().map(leader -> leader.node).ifPresent(leader -> {
+            boolean caughtUp = leader.isInContact(replica) && leader.matchIndexOf(replica) >= leader.commitIndex();
+            ReplicaReplacement.nextChange(leader.voters(), ReplicaId.parse(replica), caughtUp)
+                    .ifPresent(leader::proposeVoters);
+        });
+    }
+
     /** Guards against a replica with a full disk that counts as current because it hears its leader. */
     @ParameterizedTest
     @ValueSource(longs = {51, 52, 53, 54})
@@ -277,12 +326,7 @@
 
     private static void replaceReplica(RaftCluster cluster, ReplicaId replacement) {
         for (int step = 0; step < 100; step++) {
-            cluster.leader().ifPresent(leader -> {
-                boolean caughtUp = leader.node.isInContact(replacement.toString())
-                        && leader.node.matchIndexOf(replacement.toString()) >= leader.node.commitIndex();
-                Optional<Voters> change = ReplicaReplacement.nextChange(leader.node.voters(), replacement, caughtUp);
-                change.ifPresent(leader.node::proposeVoters);
-            });
+            requestJoin(cluster, replacement.toString());
             cluster.runFor(200);
         }
     }
