Keep a control replica running after an internal error

Any exception but a storage failure ended the thread of a control replica for good, while its process ran on: orders sent to it stayed unanswered and it served as a voter no longer. One exception in a listener was enough.

The replica is stopped as after a storage failure: proposals and reads end as undecided, and its state is reloaded from disk, since what is in memory may be inconsistent.

ControlServiceTest.internalErrorDoesNotEndTheReplica failed before: no order was acknowledged for 10 s after the error. Looked for because of the users' report on disks that were full one after another; FullDiskTest, which plays that report, held before too.

--- a/src/main/java/org/bulrushwheel/control/ControlService.java
+++ b/src/main/java/org/bulrushwheel/control/ControlService.java
@@ -258,7 +258,10 @@
         }
     }
 
-    /** Runs one batch. After a storage failure, stops the replica until its storage reopens, then reloads its state. */
+    /**
+     * Runs one batch. After a storage failure or an internal error, stops the replica until its storage reopens, then reloads
+     * its state.
+     */
     private void runGuarded() throws InterruptedException {
         try {
             if (storage == null) {
@@ -270,14 +273,24 @@
             metrics.counter("control.storage.failed").inc();
             LOGGER.error("replica={} storage failed; stopping until it can be reopened", replica, e);
             eventLog.diskFailed(String.valueOf(e.getMessage()));
-            proposals.failAll();
-            pendingReads.clear();
-            closeStorage();
-            status = status.stopped();
-            Thread.sleep(STORAGE_RETRY_DELAY_MILLIS);
+            stopUntilReopened();
+        } catch (RuntimeException e) {
+            // What is in memory may be inconsistent now; what is on the disk is not.
+            metrics.counter("control.failed").inc();
+            LOGGER.error("replica={} internal error; reloading its state", replica, e);
+            eventLog.diskFailed("internal error; the state is reloaded");
+            stopUntilReopened();
         }
     }
 
+    private void stopUntilReopened() throws InterruptedException {
+        proposals.failAll();
+        pendingReads.clear();
+        closeStorage();
+        status = status.stopped();
+        Thread.sleep(STORAGE_RETRY_DELAY_MILLIS);
+    }
+
     private void open() {
         ReplicaStorage opened = ReplicaStorage.open(settings.dataFolder());
         storage = opened;
--- a/src/main/java/org/bulrushwheel/storage/ReplicaStorage.java
+++ b/src/main/java/org/bulrushwheel/storage/ReplicaStorage.java
@@ -162,8 +162,12 @@
 
     @Override
     public void close() throws IOException {
-        log.close();
-        lock.channel().close();
+        try {
+            log.close();
+        } finally {
+            // Otherwise this process could not open the folder again.
+            lock.channel().close();
+        }
     }
 
     private LogFile createLog(long snapshotIndex, List<LogEntry> remaining) throws IOException {
@@ -174,9 +178,14 @@
         records.add(LogRecord.newBuilder().setHardState(hardState).build());
         remaining.forEach(
                 entry -> records.add(LogRecord.newBuilder().setEntry(entry).build()));
-        newLog.append(records);
-        newLog.sync();
-        return newLog;
+        try {
+            newLog.append(records);
+            newLog.sync();
+            return newLog;
+        } catch (StorageException e) {
+            newLog.close();
+            throw e;
+        }
     }
 
     private Path logPath(long snapshotIndex) {
--- /dev/null
+++ b/src/test/java/org/bulrushwheel/control/ControlServiceTest.java
@@ -0,0 +1,92 @@
+package org.bulrushwheel.control;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.bulrushwheel.client.LoopbackPorts;
+import org.bulrushwheel.local.LocalDeployment;
+import org.bulrushwheel.logic.time.SystemTimeSource;
+import org.bulrushwheel.model.instance.Address;
+import org.bulrushwheel.model.proto.Command;
+import org.bulrushwheel.model.proto.CommandResult;
+import org.bulrushwheel.model.proto.SetEvacuation;
+import org.bulrushwheel.wire.PeerNetwork;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** A single replica. */
+@Timeout(60)
+class ControlServiceTest {
+    private static final String NAME = "r1";
+
+    @TempDir
+    private Path folder;
+
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final PeerNetwork peers = new PeerNetwork(
+            NAME,
+            new Address("127.0.0.1", LoopbackPorts.free(1).get(0)),
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()),
+            metrics);
+    private ControlService control;
+
+    @BeforeEach
+    void start() {
+        Path data = folder.resolve("data");
+        ControlService.bootstrap(data, NAME, List.of(NAME));
+        control = new ControlService(
+                new ReplicaSettings(NAME, data, List::of, false, 1 << 20, 100),
+                peers,
+                new SystemTimeSource(),
+                new Random(1),
+                metrics);
+    }
+
+    @AfterEach
+    void close() {
+        control.stop();
+        peers.stop();
+    }
+
+    /** Guards against a control instance that runs but never answers again, because an error has ended its thread. */
+    @Test
+    void internalErrorDoesNotEndTheReplica() {
+        AtomicBoolean fails = new AtomicBoolean();
+        control.addFleetListener(fleet -> {
+            if (fails.getAndSet(false)) {
+                throw new IllegalStateException("expected by this test");
+            }
+        });
+        control.start();
+        assertTrue(evacuates("a1"));
+        fails.set(true);
+        evacuates("b1");
+        assertTrue(evacuates("c1"), "no order is acknowledged after an internal error");
+        assertTrue(
+                control.readLocal(state -> state.fleet().evacuations().size()).join() == 3);
+    }
+
+    private boolean evacuates(String zone) {
+        Command command = Command.newBuilder()
+                .setSetEvacuation(SetEvacuation.newBuilder().setZone(zone).setActive(true))
+                .build();
+        return LocalDeployment.await(
+                () -> control.propose(command)
+                                .completeOnTimeout(CommandResult.getDefaultInstance(), 200, TimeUnit.MILLISECONDS)
+                                .join()
+                                .getKind()
+                        == CommandResult.Kind.DONE,
+                System.nanoTime() + TimeUnit.SECONDS.toNanos(10));
+    }
+}
