--- a/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
@@ -493,7 +493,7 @@
 
     /** Guards against requests that are read on connections that never run empty, and cut when the process ends. */
     @ParameterizedTest
-    @CsvSource({"300, 1, 100", "300, 40000, 100", "3200, 40000, 2600"})
+    @CsvSource({"240, 5, 100", "300, 1, 100", "300, 40000, 100", "3200, 40000, 2600"})
     void drainEndsConnectionsThatNeverRunEmpty(long answerMillis, int answerBytes, long sendEveryMillis)
             throws Exception {
         serve(8, (request, connection) -> {
