--- a/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -242,11 +243,6 @@
         stopDeadlineMillis = newStopDeadlineMillis;
     }
 
-    /** Returns the time at which this instance stops, or {@link Long#MAX_VALUE} while it is not stopping. */
-    long stopDeadlineMillis() {
-        return stopDeadlineMillis;
-    }
-
     /**
      * Whether a request that is sent now ends before this instance stops, if it takes no longer than the recent ones of
      * its route.
@@ -258,11 +254,9 @@
             return true;
         }
         long nowMillis = nowMillis();
-        long latestEndMillis = Math.min(
-                deadlineMillis,
-                nowMillis
-                        + longestAnswers.longestMillis(route.name(), nowMillis).orElse(deadlineMillis - nowMillis));
-        return latestEndMillis <= stopDeadlineMillis;
+        OptionalLong longestMillis = longestAnswers.longestMillis(route.name(), nowMillis);
+        long expectedEndMillis = longestMillis.isPresent() ? nowMillis + longestMillis.getAsLong() : deadlineMillis;
+        return Math.min(expectedEndMillis, deadlineMillis) <= stopDeadlineMillis;
     }
 
     void updateView(FleetView newView) {
