Connect to the new address of an endpoint that starts again under its id

The pool of connections to an endpoint was found by its id and kept the first address.

The pool is replaced when the address differs; idle connections to the former address are closed, those in use end as they are.

--- a/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
@@ -154,16 +154,18 @@
                 .with(DecisionField.LOAD, chooser.loadEstimate(endpoint, nowMillis())));
     }
 
+    /** Returns the connections to an endpoint; one that has started again at another address gets new ones. */
     EndpointPool poolOf(Endpoint endpoint) {
+        Address address = Address.parse(endpoint.address());
+        EndpointPool existing = poolsByEndpoint.get(endpoint.id());
+        if (existing != null && !existing.address().equals(address)) {
+            existing.close();
+            poolsByEndpoint.remove(endpoint.id());
+        }
         return poolsByEndpoint.computeIfAbsent(
                 endpoint.id(),
                 id -> new EndpointPool(
-                        Address.parse(endpoint.address()),
-                        bootstrap,
-                        headerNames,
-                        time,
-                        link,
-                        () -> maxConnections(endpoint.service())));
+                        address, bootstrap, headerNames, time, link, () -> maxConnections(endpoint.service())));
     }
 
     /** Returns this instance's equal share of the connections that an endpoint accepts from all instances together. */
--- a/src/main/java/org/bulrushwheel/server/edge/EndpointPool.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EndpointPool.java
@@ -113,6 +113,10 @@
         }
     }
 
+    Address address() {
+        return address;
+    }
+
     void close() {
         closed = true;
         while (!idleConnections.isEmpty()) {
--- a/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
@@ -272,6 +272,20 @@
         assertEquals(10, totalReceived());
     }
 
+    /** Guards against requests that go to the former address of an endpoint that has started again at another one. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/read/x", "/file/x"})
+    void endpointThatStartsAgainAtAnotherAddressGetsItsRequestsThere(String path) throws IOException {
+        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "former")));
+        assertTrue(edge.call(path, "a1").endsWith("former"));
+        ScriptedEndpoint restarted =
+                endpoint((request, connection) -> connection.send(ScriptedEndpoint.ok(request, "restarted")));
+        edge.update(FleetUpdate.newBuilder()
+                .addEndpoints(EdgeFixture.endpoint("e0", restarted).toBuilder().setBornEpochMillis(2)));
+        assertTrue(edge.call(path, "a2").endsWith("restarted"));
+        assertEquals(1, endpoints.get(0).received().size());
+    }
+
     @Test
     void requestThatCrashedTwoEndpointsIsNotSentToThird() throws IOException {
         serve(5, (request, connection) -> connection.reset());
