--- a/src/test/java/org/bulrushwheel/daemon/FleetProcesses.java
+++ b/src/test/java/org/bulrushwheel/daemon/FleetProcesses.java
@@ -12,17 +12,22 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import org.bulrushwheel.cli.Main;
 import org.bulrushwheel.client.HttpAnswer;
 import org.bulrushwheel.client.HttpCaller;
 import org.bulrushwheel.client.LoopbackPorts;
+import org.bulrushwheel.local.LocalDeployment;
 import org.bulrushwheel.model.instance.Address;
 import org.bulrushwheel.model.settings.FleetBounds;
 import org.bulrushwheel.model.settings.FleetSettings;
 import org.bulrushwheel.model.settings.ZonePlace;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /** Three control instances and one entry instance, each in a separate process and, but for the entry, in its own zone. */
 final class FleetProcesses implements AutoCloseable {
     static final int CONTROLS = 3;
@@ -117,6 +122,13 @@
                 .waitFor();
     }
 
+    /** Fails with the log of all processes unless the condition holds within the time. */
+    void within(long millis, String failureMessage, BooleanSupplier condition) {
+        assertTrue(
+                LocalDeployment.await(condition, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis)),
+                () -> failureMessage + "\n" + log());
+    }
+
     /** Returns the log lines of all processes so far. */
     String log() {
         return String.join("\n", log);
--- a/src/test/java/org/bulrushwheel/daemon/FrozenControlTest.java
+++ b/src/test/java/org/bulrushwheel/daemon/FrozenControlTest.java
@@ -5,9 +5,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.BooleanSupplier;
 
-import org.bulrushwheel.local.LocalDeployment;
 import org.bulrushwheel.server.edge.ScriptedEndpoint;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -51,9 +49,15 @@
         evacuated = new ScriptedEndpoint(script);
         other = new ScriptedEndpoint(script);
         fleet = new FleetProcesses(folder);
-        within("no configuration was accepted", () -> fleet.replaceTraffic(0, 1));
-        within("an endpoint was not registered", () -> fleet.announce(0, "e1", evacuated.address(), ZONE, 1));
-        within("an endpoint was not registered", () -> fleet.announce(0, "e2", other.address(), "c1", 1));
+        fleet.within(START_MILLIS, "no configuration was accepted", () -> fleet.replaceTraffic(0, 1));
+        fleet.within(
+                START_MILLIS,
+                "an endpoint was not registered",
+                () -> fleet.announce(0, "e1", evacuated.address(), ZONE, 1));
+        fleet.within(
+                START_MILLIS,
+                "an endpoint was not registered",
+                () -> fleet.announce(0, "e2", other.address(), "c1", 1));
         Thread caller = new Thread(() -> {
             for (int request = 0; calling.get(); request++) {
                 fleet.call("/read/" + request);
@@ -62,7 +66,8 @@
         });
         caller.setDaemon(true);
         caller.start();
-        within(
+        fleet.within(
+                START_MILLIS,
                 "the endpoints are not used",
                 () -> !evacuated.received().isEmpty() && !other.received().isEmpty());
     }
@@ -120,12 +125,6 @@
         }
     }
 
-    private void within(String failureMessage, BooleanSupplier condition) {
-        assertTrue(
-                LocalDeployment.await(condition, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MILLIS)),
-                () -> failureMessage + "\n" + fleet.log());
-    }
-
     private static void sleepUntil(long targetNanos) {
         pause(TimeUnit.NANOSECONDS.toMillis(targetNanos - System.nanoTime()));
     }
--- a/src/test/java/org/bulrushwheel/daemon/FullDiskTest.java
+++ b/src/test/java/org/bulrushwheel/daemon/FullDiskTest.java
@@ -3,9 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 
-import org.bulrushwheel.local.LocalDeployment;
 import org.bulrushwheel.server.edge.ScriptedEndpoint;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -13,8 +11,6 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 /** Disks of control instances that take no more bytes for a while. The users allow 5 s for an evacuation. */
 @Timeout(180)
 class FullDiskTest {
@@ -32,12 +28,12 @@
     void start() throws IOException {
         endpoint = new ScriptedEndpoint((request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
         fleet = new FleetProcesses(folder);
-        within(START_MILLIS, "no configuration was accepted", () -> fleet.replaceTraffic(0, 1));
-        within(
+        fleet.within(START_MILLIS, "no configuration was accepted", () -> fleet.replaceTraffic(0, 1));
+        fleet.within(
                 START_MILLIS,
                 "the endpoint was not registered",
                 () -> fleet.announce(0, "e1", endpoint.address(), "b1", 1));
-        within(START_MILLIS, "the endpoint is not used", () -> fleet.call("/read/x") == 200);
+        fleet.within(START_MILLIS, "the endpoint is not used", () -> fleet.call("/read/x") == 200);
     }
 
     @AfterEach
@@ -54,13 +50,13 @@
     void evacuationReachesEntryInstancesOfAControlInstanceWithAFullDisk() throws IOException, InterruptedException {
         fleet.setDiskFull(0, true);
         // Makes the disk fail before the order.
-        within(
+        fleet.within(
                 ACKNOWLEDGEMENT_MILLIS,
                 "an announcement was not acknowledged",
                 () -> fleet.announce(1, "e2", endpoint.address(), "c1", 1));
-        within(ACKNOWLEDGEMENT_MILLIS, "the evacuation was not acknowledged", () -> fleet.evacuate(1, "b1"));
-        within(ACKNOWLEDGEMENT_MILLIS, "the evacuation was not acknowledged", () -> fleet.evacuate(1, "c1"));
-        within(EVACUATION_MILLIS, "an evacuated zone is still used", () -> fleet.call("/read/x") == 503);
+        fleet.within(ACKNOWLEDGEMENT_MILLIS, "the evacuation was not acknowledged", () -> fleet.evacuate(1, "b1"));
+        fleet.within(ACKNOWLEDGEMENT_MILLIS, "the evacuation was not acknowledged", () -> fleet.evacuate(1, "c1"));
+        fleet.within(EVACUATION_MILLIS, "an evacuated zone is still used", () -> fleet.call("/read/x") == 503);
     }
 
     /** Guards against control instances that do not recover from a full disk. */
@@ -72,7 +68,7 @@
             fleet.setDiskFull(control, true);
             for (int change = 0; change < 3; change++) {
                 long next = ++version;
-                within(
+                fleet.within(
                         ACKNOWLEDGEMENT_MILLIS,
                         "no change was accepted beside a full disk",
                         () -> fleet.replaceTraffic(other, next));
@@ -84,14 +80,8 @@
         for (int control = 0; control < FleetProcesses.CONTROLS; control++) {
             int asked = control;
             long next = ++version;
-            within(ACKNOWLEDGEMENT_MILLIS, "a change was not accepted", () -> fleet.replaceTraffic(asked, next));
-            within(ACKNOWLEDGEMENT_MILLIS, "a change was not read back", () -> fleet.holdsTraffic(asked, next));
+            fleet.within(ACKNOWLEDGEMENT_MILLIS, "a change was not accepted", () -> fleet.replaceTraffic(asked, next));
+            fleet.within(ACKNOWLEDGEMENT_MILLIS, "a change was not read back", () -> fleet.holdsTraffic(asked, next));
         }
     }
-
-    private void within(long millis, String failureMessage, BooleanSupplier condition) {
-        assertTrue(
-                LocalDeployment.await(condition, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis)),
-                () -> failureMessage + "\n" + fleet.log());
-    }
 }
