Reset the connection of a request that is given up

The attempt was ended with a plain close, which leaves what is not delivered yet in the send buffer.

A reset discards it. EdgeServerTest.connectionOfARequestThatIsGivenUpIsReset failed before, both rows.

--- a/src/main/java/org/bulrushwheel/server/edge/EndpointConnection.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EndpointConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -96,6 +97,10 @@
     void abort() {
         listener = null;
         stream = null;
+        if (channel != null) {
+            // A reset also withdraws what the network has not delivered yet; after a plain close it could still arrive.
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
         close();
     }
 
--- a/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
@@ -272,6 +272,22 @@
         assertEquals(10, totalReceived());
     }
 
+    /** Guards against requests that reach an endpoint when a partition ends, seconds after they were given up. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/read/x", "/file/x"})
+    void connectionOfARequestThatIsGivenUpIsReset(String path) throws Exception {
+        CompletableFuture<Boolean> isReset = new CompletableFuture<>();
+        serve(1, (request, connection) -> {
+            try {
+                isReset.complete(connection.socket().getInputStream().read() >= 0);
+            } catch (IOException e) {
+                isReset.complete(true);
+            }
+        });
+        assertTrue(edge.call(path, "a1").startsWith("HTTP/1.1 504"));
+        assertTrue(isReset.get(5, TimeUnit.SECONDS), "the connection was closed, not reset");
+    }
+
     /** Guards against requests that go to the former address of an endpoint that has started again at another one. */
     @ParameterizedTest
     @ValueSource(strings = {"/read/x", "/file/x"})
