Parse an endpoint's address once for its pool, not with every attempt

Reading the change again: the check for a new address parsed the address before each attempt, on the path of every request. The pool keeps the text and compares it; the address is parsed when the pool is created, as before. PeerLink's comment said that frames are lost only when a connection closes; they are dropped too when it cannot be opened or too many wait. StallMonitor.check is private.

--- a/src/main/java/org/bulrushwheel/kernel/StallMonitor.java
+++ b/src/main/java/org/bulrushwheel/kernel/StallMonitor.java
@@ -50,7 +50,7 @@
         timer.close();
     }
 
-    void check() {
+    private void check() {
         long nowMillis = time.monotonicMillis();
         long stalledMillis = nowMillis - lastCheckMillis - CHECK_INTERVAL_MILLIS;
         lastCheckMillis = nowMillis;
--- a/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
@@ -28,7 +28,6 @@
 import org.bulrushwheel.model.decision.DecisionField;
 import org.bulrushwheel.model.decision.DecisionKind;
 import org.bulrushwheel.model.decision.DecisionSink;
-import org.bulrushwheel.model.instance.Address;
 import org.bulrushwheel.model.proto.PoisonRecord;
 import org.bulrushwheel.model.proto.SeenLoad;
 import org.bulrushwheel.model.traffic.Endpoint;
@@ -156,16 +155,20 @@
 
     /** Returns the connections to an endpoint; one that has started again at another address gets new ones. */
     EndpointPool poolOf(Endpoint endpoint) {
-        Address address = Address.parse(endpoint.address());
         EndpointPool existing = poolsByEndpoint.get(endpoint.id());
-        if (existing != null && !existing.address().equals(address)) {
+        if (existing != null && !existing.isAt(endpoint.address())) {
             existing.close();
             poolsByEndpoint.remove(endpoint.id());
         }
         return poolsByEndpoint.computeIfAbsent(
                 endpoint.id(),
                 id -> new EndpointPool(
-                        address, bootstrap, headerNames, time, link, () -> maxConnections(endpoint.service())));
+                        endpoint.address(),
+                        bootstrap,
+                        headerNames,
+                        time,
+                        link,
+                        () -> maxConnections(endpoint.service())));
     }
 
     /** Returns this instance's equal share of the connections that an endpoint accepts from all instances together. */
--- a/src/main/java/org/bulrushwheel/server/edge/EndpointPool.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EndpointPool.java
@@ -32,6 +32,7 @@
     // scheduling delays.
     private static final double KEEP_ALIVE_USED_FRACTION = 0.85;
 
+    private final String endpointAddress;
     private final Address address;
     private final Bootstrap bootstrap;
     private final EdgeHeaders headerNames;
@@ -43,13 +44,14 @@
     private boolean closed;
 
     EndpointPool(
-            Address address,
+            String endpointAddress,
             Bootstrap bootstrap,
             EdgeHeaders headerNames,
             TimeSource time,
             LinkLoad link,
             IntSupplier maxConnections) {
-        this.address = address;
+        this.endpointAddress = endpointAddress;
+        this.address = Address.parse(endpointAddress);
         this.bootstrap = bootstrap;
         this.headerNames = headerNames;
         this.time = time;
@@ -113,8 +115,9 @@
         }
     }
 
-    Address address() {
-        return address;
+    /** Whether the connections lead to this address. */
+    boolean isAt(String otherAddress) {
+        return endpointAddress.equals(otherAddress);
     }
 
     void close() {
--- a/src/main/java/org/bulrushwheel/wire/PeerLink.java
+++ b/src/main/java/org/bulrushwheel/wire/PeerLink.java
@@ -17,7 +17,7 @@
  * Outgoing connection to one peer, opened on demand when a frame is sent and reopened after it was closed.
  *
  * <p>Invariants: at most one connection is open or being opened; each has a number of its own. Frames may be lost when a
- * connection closes, and only then. Thread safe: state is guarded by the intrinsic lock.
+ * connection closes or cannot be opened, and when too many wait for it. Thread safe: state is guarded by the intrinsic lock.
  */
 final class PeerLink {
     private static final int MAX_WAITING_FRAMES = 1024;
