Close a caller's connection even if the requests behind a broken answer fail to abort

Callers saw: an answer broken off in the middle, and then neither an end of the connection nor an answer to the requests sent behind it.

When the endpoint closes several connections in one turn of the event loop, their sockets are closed before the first is reported inactive. Breaking off its answer aborts the requests behind it, and setting the option on their closed sockets throws; the caller's connection was then never closed. The exception was not logged.

Change: the option is set on open channels only; the caller's connection is closed first, what is behind is abandoned once it is inactive; internal errors on a connection to an endpoint are logged.

--- a/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
+++ b/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
@@ -356,8 +356,7 @@
             if (!closing && pendingRequests.peekFirst() == pending) {
                 pendingRequests.pollFirst();
                 closing = true;
-                pendingRequests.forEach(CallerConnection.this::abandon);
-                pendingRequests.clear();
+                // The requests behind it are abandoned when the channel has become inactive.
                 requireChannel().close();
             }
         }
--- a/src/main/java/org/bulrushwheel/server/edge/EndpointConnection.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EndpointConnection.java
@@ -1,5 +1,6 @@
 package org.bulrushwheel.server.edge;
 
+import java.io.IOException;
 import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
@@ -21,6 +22,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One connection to an endpoint, with at most one request in flight.
@@ -30,6 +33,7 @@
  * thread safe: confined to its event loop.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter implements PausableSource {
+    private static final Logger LOGGER = LoggerFactory.getLogger(EndpointConnection.class);
     // A shorter response is buffered, so that the request can be retried when the response breaks off.
     private static final int STREAMED_FROM_BYTES = 16 * 1024;
     // Bounds a response that cannot be streamed yet; several may arrive at once.
@@ -97,7 +101,9 @@
     void abort() {
         listener = null;
         stream = null;
-        if (channel != null) {
+        // A channel that the endpoint has closed stays registered here until it is reported inactive; it takes no
+        // option.
+        if (channel != null && channel.isOpen()) {
             // A reset also withdraws what the network has not delivered yet; after a plain close it could still arrive.
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
         }
@@ -159,6 +165,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            LOGGER.error("closing the connection to an endpoint after an internal error", cause);
+        }
         fail("connection failed: " + cause.getMessage());
     }
 
--- a/src/test/java/org/bulrushwheel/server/edge/EdgeFixture.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeFixture.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
@@ -15,6 +16,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
 import org.bulrushwheel.client.LoopbackPorts;
 import org.bulrushwheel.logic.fleet.FleetView;
 import org.bulrushwheel.logic.fleet.JsonTrafficCodec;
@@ -99,6 +101,18 @@
                 .syncUninterruptibly();
     }
 
+    /** Does something while the server's event loop stands still; the server then sees all effects at once. */
+    void whileServerPauses(ScriptedEndpoint.IoTask work) throws Exception {
+        CountDownLatch done = new CountDownLatch(1);
+        Future<?> pause = loop.submit(() -> done.await(5, TimeUnit.SECONDS));
+        try {
+            work.run();
+        } finally {
+            done.countDown();
+        }
+        pause.syncUninterruptibly();
+    }
+
     /** Merges other instances' records of requests that are suspected of crashing endpoints. */
     void mergePoison(List<PoisonRecord> records) {
         loop.submit(() -> records.forEach(server::mergePoison)).syncUninterruptibly();
--- a/src/test/java/org/bulrushwheel/server/edge/LargeAnswerTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/LargeAnswerTest.java
@@ -7,10 +7,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
+import org.bulrushwheel.model.decision.DecisionField;
 import org.bulrushwheel.model.decision.DecisionKind;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -126,6 +128,41 @@
         assertEquals(wasReset ? -1 : 0, bytes.lastIndexOf("HTTP/1.1 "), "another answer followed");
     }
 
+    // Guards against a caller left waiting: giving up the requests behind a broken answer failed when their connections
+    // had just been closed as well, and the caller's connection stayed open without an answer.
+    @ParameterizedTest
+    @ValueSource(ints = {2, 4})
+    void brokenAnswerEndsTheCallersConnectionWhenAllConnectionsToTheEndpointCloseAtOnce(int requests) throws Exception {
+        CountDownLatch sent = new CountDownLatch(requests);
+        List<Socket> sockets = new CopyOnWriteArrayList<>();
+        serve((request, connection) -> {
+            connection.send(head(request, "Content-Length: 100000") + HALF);
+            sockets.add(connection.socket());
+            sent.countDown();
+        });
+        try (Socket caller = edge.connect()) {
+            for (int i = 1; i <= requests; i++) {
+                caller.getOutputStream()
+                        .write(EdgeFixture.get("/read/x", "a" + i).getBytes(StandardCharsets.ISO_8859_1));
+            }
+            awaitBytes(caller.getInputStream(), 50_000);
+            assertTrue(sent.await(5, TimeUnit.SECONDS));
+            edge.whileServerPauses(() -> {
+                for (Socket socket : sockets) {
+                    socket.close();
+                }
+            });
+            assertEquals("", EdgeFixture.readAll(caller.getInputStream()).replace("a", ""));
+        }
+        assertEquals(
+                List.of(true),
+                edge.decisions().stream()
+                        .filter(decision -> decision.fields().containsKey(DecisionField.MAY_HAVE_RUN))
+                        .map(decision -> decision.fields().get(DecisionField.MAY_HAVE_RUN))
+                        .distinct()
+                        .toList());
+    }
+
     @Test
     void bytesBeyondTheLengthReachNoCaller() throws IOException {
         serve((request, connection) ->
--- a/src/test/java/org/bulrushwheel/server/edge/ScriptedEndpoint.java
+++ b/src/test/java/org/bulrushwheel/server/edge/ScriptedEndpoint.java
@@ -149,7 +149,7 @@
     }
 
     /** Task that may fail when the test closes its connection. */
-    private interface IoTask {
+    interface IoTask {
         void run() throws IOException, InterruptedException;
     }
 
