Pass on that an endpoint is cold again before its cold time is over

Cause: an announcement counted as a change only if it said that a warm endpoint had become cold, or the reverse.

Change: a newer announcement of a cold endpoint supersedes the earlier one. A control instance proposes it only if it names an end of the cold time later than the one that it has had agreed on, so that the heartbeats of one cold time cost one change at each control instance that they reach.

Evidence: 1 of 4 rows of the new test of FleetState failed before.

--- a/src/main/java/org/bulrushwheel/logic/fleet/EndpointRecords.java
+++ b/src/main/java/org/bulrushwheel/logic/fleet/EndpointRecords.java
@@ -21,7 +21,10 @@
         return record.getState() == State.LEFT || record.getState() == State.SILENT;
     }
 
-    /** Whether a record supersedes the current one of its endpoint: it is not older and changes something. */
+    /**
+     * Whether a record supersedes the current one of its endpoint: it is not older, and it changes something or says how
+     * long the endpoint is still cold, which may be longer than before.
+     */
     public static boolean isNewer(EndpointRecord record, Optional<EndpointRecord> current) {
         if (current.isEmpty()) {
             return true;
@@ -37,7 +40,12 @@
             return old.getState() == State.READY && record.getSequence() >= old.getSequence();
         }
         boolean ends = rank(record.getState()) > rank(old.getState());
-        return ends || (record.getSequence() > old.getSequence() && differs(record, old));
+        return ends || (record.getSequence() > old.getSequence() && (differs(record, old) || isCold(record)));
+    }
+
+    /** Whether a record changes nothing about the incarnation, except how long the endpoint is still cold. */
+    public static boolean isRepeated(EndpointRecord record, EndpointRecord current) {
+        return record.getBornEpochMillis() == current.getBornEpochMillis() && !differs(record, current);
     }
 
     /** Returns, marked as left, the records of earlier endpoints whose address a ready endpoint has taken over. */
@@ -51,14 +59,17 @@
                 .toList();
     }
 
-    /** Whether two records of one incarnation differ in a field that entry instances use. */
-    public static boolean differs(EndpointRecord one, EndpointRecord other) {
+    private static boolean differs(EndpointRecord one, EndpointRecord other) {
         return one.getState() != other.getState()
                 || !one.getAddress().equals(other.getAddress())
                 || !one.getService().equals(other.getService())
                 || !one.getZone().equals(other.getZone())
                 || one.getSlots() != other.getSlots()
-                || (one.getColdRemainingMillis() > 0) != (other.getColdRemainingMillis() > 0);
+                || isCold(one) != isCold(other);
+    }
+
+    private static boolean isCold(EndpointRecord record) {
+        return record.getColdRemainingMillis() > 0;
     }
 
     /** Whether a leave concerns the current incarnation, and is not a late one of an earlier incarnation. */
--- a/src/main/java/org/bulrushwheel/server/fleet/EndpointRegistry.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/EndpointRegistry.java
@@ -14,6 +14,7 @@
 import org.bulrushwheel.kernel.KernelService;
 import org.bulrushwheel.kernel.ServiceTimer;
 import org.bulrushwheel.logic.control.ControlState;
+import org.bulrushwheel.logic.fleet.ColdTimes;
 import org.bulrushwheel.logic.fleet.EndpointLiveness;
 import org.bulrushwheel.logic.fleet.EndpointRecords;
 import org.bulrushwheel.logic.raft.RaftRole;
@@ -56,6 +57,7 @@
     private final ServiceTimer timer;
     private final EndpointLiveness liveness;
     private final DecisionSink decisions;
+    private final ColdTimes coldTimes = new ColdTimes();
     private final Set<String> announcedSinceReport = new HashSet<>();
     private boolean wasLeader;
 
@@ -107,10 +109,19 @@
         control.execute(state -> {
             announcedSinceReport.add(record.getId());
             Optional<EndpointRecord> stored = state.fleet().endpoint(record.getId());
-            if (EndpointRecords.isNewer(record, stored)) {
+            long nowMillis = time.monotonicMillis();
+            boolean isKnown = stored.filter(current -> EndpointRecords.isRepeated(record, current))
+                            .isPresent()
+                    && !coldTimes.isExtendedBy(record, nowMillis);
+            if (EndpointRecords.isNewer(record, stored) && !isKnown) {
+                answer.thenAccept(acknowledged -> {
+                    if (acknowledged) {
+                        control.execute(ignored -> coldTimes.onAgreed(record, nowMillis));
+                    }
+                });
                 propose(PutEndpoints.newBuilder().addEndpoints(record), answer, announcementDecision(record));
             } else {
-                answer.complete(control.status().isUpToDate(time.monotonicMillis()));
+                answer.complete(control.status().isUpToDate(nowMillis));
             }
         });
         return answer;
--- a/src/test/java/org/bulrushwheel/logic/fleet/FleetStateTest.java
+++ b/src/test/java/org/bulrushwheel/logic/fleet/FleetStateTest.java
@@ -109,6 +109,19 @@
         assertEquals(expected, stateOf("e"));
     }
 
+    /** Guards against a second cold time that is not passed on to the entry instances. */
+    @ParameterizedTest
+    @CsvSource({"1000, 2, 3000, 3000", "1000, 2, 0, 0", "0, 2, 3000, 3000", "1000, 1, 3000, 1000"})
+    void newerAnnouncementSaysHowLongAnEndpointIsCold(long cold1, long sequence2, long cold2, long expected) {
+        put(endpoint("e", 5, 1, State.READY).toBuilder()
+                .setColdRemainingMillis(cold1)
+                .build());
+        put(endpoint("e", 5, sequence2, State.READY).toBuilder()
+                .setColdRemainingMillis(cold2)
+                .build());
+        assertEquals(expected, state.endpoint("e").orElseThrow().getColdRemainingMillis());
+    }
+
     @ParameterizedTest
     @CsvSource({"0, LEFT", "5, LEFT", "4, READY", "6, LEFT"})
     void leaveOfAnEarlierIncarnationIsIgnored(long bornOfLeave, State expected) {
