Count a broken connection as a crash only if the endpoint does not run on

Cause: a connection that broke was taken as proof that the request had crashed the endpoint, and a refused request gets no answer that could clear it.

The gateway's path is as before.

--- a/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
@@ -61,6 +61,7 @@
     private final Map<String, EndpointPool> poolsByEndpoint = new HashMap<>();
     private final Map<String, WindowedRetryBudget> budgetsByService = new HashMap<>();
     private final PoisonRegistry poisonRegistry = new PoisonRegistry();
+    private final SurvivalCheck survivalCheck = new SurvivalCheck(this, this::onSurvived);
     private final DecisionSink decisionSink;
     private Consumer<PoisonRecord> poisonListener = record -> {};
     private Consumer<List<SeenLoad>> loadListener = loads -> {};
@@ -226,15 +227,29 @@
         return !poisonRegistry.isEmpty() && poisonRegistry.isPoison(RequestFingerprint.of(request), nowMillis());
     }
 
-    /** Records that an endpoint closed the connection while the request was in flight. */
+    /**
+     * Records that an endpoint closed the connection while the request was in flight. A connection may break without a
+     * crash, so the suspicion is withdrawn if the endpoint turns out to run on.
+     */
     void onEndpointCrash(CallerRequest request, Endpoint endpoint) {
-        poisonListener.accept(poisonRegistry.onCrash(RequestFingerprint.of(request), endpoint.id(), nowMillis()));
+        String fingerprint = RequestFingerprint.of(request);
+        poisonListener.accept(poisonRegistry.onCrash(fingerprint, endpoint.id(), nowMillis()));
+        survivalCheck.begin(endpoint, fingerprint);
+    }
+
+    private void onSurvived(String fingerprint, String endpoint) {
+        poisonRegistry.onSurvived(fingerprint, endpoint, nowMillis()).ifPresent(poisonListener);
+    }
+
+    /** Returns the records of the requests that are suspected now. */
+    List<PoisonRecord> suspects() {
+        return poisonRegistry.suspects(nowMillis());
     }
 
     /** Clears a request of the suspicion of crashing endpoints, because an endpoint answered it. */
     void onRequestAnswered(CallerRequest request) {
         if (!poisonRegistry.isEmpty()) {
-            poisonRegistry.onAnswer(RequestFingerprint.of(request)).ifPresent(poisonListener);
+            poisonRegistry.onAnswer(RequestFingerprint.of(request), nowMillis()).ifPresent(poisonListener);
         }
     }
 
--- a/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
@@ -105,6 +105,11 @@
         context.mergePoison(record);
     }
 
+    /** Returns the records of the requests that are suspected of crashing endpoints. */
+    public List<PoisonRecord> suspects() {
+        return context.suspects();
+    }
+
     @Override
     public void start() {
         listener = new ServerBootstrap()
--- a/src/main/java/org/bulrushwheel/server/poison/PoisonService.java
+++ b/src/main/java/org/bulrushwheel/server/poison/PoisonService.java
@@ -70,7 +70,7 @@
 
     @Override
     public void onAnswer(String fingerprint) {
-        registry.onAnswer(fingerprint).ifPresent(this::broadcast);
+        registry.onAnswer(fingerprint, time.monotonicMillis()).ifPresent(this::broadcast);
     }
 
     private void broadcast(PoisonRecord record) {
