Tell entry instances that start which requests crash endpoints

Cause: a record was passed on only at the moment when it was made, to those who were subscribed then.

Change: control instances keep the records while they are suspect, within the bounds of the registry, and send them to an entry instance that starts or comes from another control instance, ahead of its first view. An entry instance tells a control instance that it changes to, which may have started since.

--- a/src/main/java/org/bulrushwheel/daemon/EdgeDaemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/EdgeDaemon.java
@@ -71,6 +71,7 @@
         subscription.onView(edge::updateView);
         subscription.setPoisonListener(edge::mergePoison);
         edge.setPoisonListener(subscription::publishPoisonRecord);
+        subscription.setSuspects(edge::suspects);
         subscription.setLoadListener(edge::mergeLoads);
         edge.setLoadListener(subscription::publishLoads);
         kernel.register(new ApiServer(
--- a/src/main/java/org/bulrushwheel/daemon/FleetControlDaemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/FleetControlDaemon.java
@@ -37,6 +37,7 @@
 import org.bulrushwheel.server.fleet.FleetPublisher;
 import org.bulrushwheel.server.fleet.FleetServices;
 import org.bulrushwheel.server.fleet.LoadRelay;
+import org.bulrushwheel.server.fleet.PoisonRelay;
 import org.bulrushwheel.storage.ReplicaStorage;
 import org.bulrushwheel.wire.PeerNetwork;
 
@@ -93,7 +94,8 @@
                 metrics,
                 decisions));
         EntryDirectory directory = new EntryDirectory(time);
-        kernel.register(new FleetPublisher(place(), control, directory, peers, time, metrics, decisions));
+        PoisonRelay poisonRelay = new PoisonRelay(directory, () -> otherControlInstances(control), peers, time);
+        kernel.register(new FleetPublisher(place(), control, directory, poisonRelay, peers, time, metrics, decisions));
         kernel.register(new LoadRelay(directory, () -> otherControlInstances(control), peers, time, metrics));
         FleetServices services = new ControlServices(
                 administration(control, client, interfaces, decisions),
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
@@ -22,7 +22,6 @@
 import org.bulrushwheel.model.proto.FleetHello;
 import org.bulrushwheel.model.proto.FleetUpdate;
 import org.bulrushwheel.model.proto.Frame;
-import org.bulrushwheel.model.proto.PoisonNotice;
 import org.bulrushwheel.model.proto.ReplicaPlace;
 import org.bulrushwheel.model.proto.ZoneEvacuation;
 import org.bulrushwheel.wire.PeerNetwork;
@@ -43,6 +42,7 @@
     private final ReplicaPlaces replicaPlaces;
     private final ControlService control;
     private final EntryDirectory directory;
+    private final PoisonRelay poisonRelay;
     private final PeerNetwork peers;
     private final TimeSource time;
     private final ServiceTimer timer;
@@ -57,6 +57,7 @@
             ReplicaPlace self,
             ControlService control,
             EntryDirectory directory,
+            PoisonRelay poisonRelay,
             PeerNetwork peers,
             TimeSource time,
             MetricRegistry metrics,
@@ -64,6 +65,7 @@
         this.replicaPlaces = new ReplicaPlaces(self, time);
         this.control = control;
         this.directory = directory;
+        this.poisonRelay = poisonRelay;
         this.peers = peers;
         this.time = time;
         this.decisions = decisions;
@@ -72,9 +74,6 @@
         control.addFleetListener(this::publish);
         peers.handle(Frame.BodyCase.FLEET_HELLO, (frame, reply) -> onHello(frame.getFleetHello()));
         peers.handle(Frame.BodyCase.ENTRY_SUMMARY, (frame, reply) -> onSummary(frame.getEntrySummary()));
-        peers.handle(
-                Frame.BodyCase.POISON_NOTICE,
-                (frame, reply) -> control.execute(state -> forward(frame.getSender(), frame.getPoisonNotice())));
     }
 
     @Override
@@ -103,8 +102,14 @@
 
     private void onHello(FleetHello hello, FleetState fleet) {
         long nowMillis = time.monotonicMillis();
+        boolean isNew = hello.getHaveRevision() == 0
+                || !subscribers.containsKey(hello.getEntry().getPeerAddress());
         Subscriber subscriber = subscribers.computeIfAbsent(hello.getEntry().getPeerAddress(), Subscriber::new);
         subscriber.onHello(hello, nowMillis);
+        if (isNew) {
+            // Before the first update, so that an instance knows them before it is ready.
+            poisonRelay.sendSuspects(subscriber.peer());
+        }
         boolean hasChanges = mayReceiveChanges(subscriber, fleet, nowMillis);
         if (hasChanges) {
             sendChanges(subscriber, fleet, nowMillis);
@@ -173,20 +178,6 @@
         peers.send(subscriber.peer(), Frame.newBuilder().setFleetUpdate(update));
     }
 
-    /**
-     * Forwards suspect requests to all subscribed entry instances except the sender, and to the other control instances
-     * unless one of them has forwarded the notice already.
-     */
-    private void forward(String sender, PoisonNotice notice) {
-        subscribers.keySet().stream()
-                .filter(peer -> !peer.equals(sender))
-                .forEach(peer -> peers.send(peer, Frame.newBuilder().setPoisonNotice(notice)));
-        if (!notice.getForwarded()) {
-            PoisonNotice forwarded = notice.toBuilder().setForwarded(true).build();
-            sendToOtherControls(() -> Frame.newBuilder().setPoisonNotice(forwarded));
-        }
-    }
-
     private void onSummary(EntrySummary summary) {
         if (summary.hasPlace()) {
             replicaPlaces.update(summary.getPlace());
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetSubscription.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetSubscription.java
@@ -58,6 +58,7 @@
     private final MetricRegistry metrics;
     private final DecisionSink decisions;
     private final List<Consumer<FleetView>> listeners = new ArrayList<>();
+    private Supplier<List<PoisonRecord>> suspects = List::of;
     private List<ReplicaPlace> replicas = List.of();
     private volatile FleetView view = FleetView.empty();
     private String source = "";
@@ -144,6 +145,11 @@
                         () -> frame.getPoisonNotice().getRecordsList().forEach(listener)));
     }
 
+    /** Sets the source of the suspect requests that a newly chosen control instance is told of. */
+    public void setSuspects(Supplier<List<PoisonRecord>> newSuspects) {
+        suspects = newSuspects;
+    }
+
     /** Whether this instance has a traffic configuration and is not leaving. */
     public boolean isReady() {
         return ready && !leaving;
@@ -213,6 +219,16 @@
         }
         source = next;
         sourceSwitchedMillis = nowMillis;
+        // It may have started since they were published.
+        List<PoisonRecord> known = suspects.get();
+        if (!known.isEmpty()) {
+            peers.send(
+                    source,
+                    Frame.newBuilder()
+                            .setPoisonNotice(PoisonNotice.newBuilder()
+                                    .addAllRecords(known)
+                                    .setForwarded(true)));
+        }
     }
 
     private void sendHello(boolean acknowledgement) {
