Place nothing on endpoints that say in an answer that they leave or want a pause

Callers saw, or would see: an endpoint that leaves got requests until its announcement had reached the entry instance, and one that had asked for a pause with Retry-After got retries and first requests within it.

A hold concerns one incarnation, outlasts late announcements of it and ends with a newer one; connections are now kept for an incarnation, not an address. Load returns step by step after a pause. When all endpoints are held, callers are told the end of the earliest pause, spread.

--- a/src/main/java/org/bulrushwheel/logic/fleet/FleetView.java
+++ b/src/main/java/org/bulrushwheel/logic/fleet/FleetView.java
@@ -191,6 +191,7 @@
     private static Endpoint endpointOf(EndpointRecord record, Map<String, String> regionsByZone, long nowMillis) {
         return new Endpoint(
                 record.getId(),
+                record.getBornEpochMillis(),
                 record.getService(),
                 record.getAddress(),
                 record.getZone(),
@@ -213,6 +214,7 @@
         endpoints.replaceAll((id, endpoint) -> restoredZones.contains(endpoint.zone())
                 ? new Endpoint(
                         id,
+                        endpoint.bornEpochMillis(),
                         endpoint.service(),
                         endpoint.address(),
                         endpoint.zone(),
--- a/src/main/java/org/bulrushwheel/logic/placement/EndpointChooser.java
+++ b/src/main/java/org/bulrushwheel/logic/placement/EndpointChooser.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -18,7 +19,8 @@
  * Chooses the endpoint for a request: of the first candidates in the object's affinity order, the one with the lowest
  * cost, which is the expected wait plus the cost of serving the object away from its first endpoint.
  *
- * <p>Invariants: an endpoint that is draining, has ended or is in an evacuated zone is never chosen; all instances
+ * <p>Invariants: an endpoint that is draining, has ended, is in an evacuated zone, or has said to this instance that it
+ * leaves or wants a pause is never chosen; all instances
  * together stay within the request rate that a cold endpoint can serve. Not thread safe: confined to one event loop.
  */
 public final class EndpointChooser {
@@ -44,6 +46,7 @@
     private final Map<RankingKey, AffinityRanking> rankings = new HashMap<>();
     private final Map<String, RegionSpill> spillByService = new HashMap<>();
     private final RecentPlacements recentPlacements = new RecentPlacements();
+    private final HeldEndpoints held = new HeldEndpoints();
     private final SeenLoads unsentLoads = new SeenLoads();
     private FleetView view = FleetView.empty();
 
@@ -73,11 +76,48 @@
         double serviceMillis = serviceMillisByService.getOrDefault(query.service(), INITIAL_SERVICE_MILLIS);
         return view.usable(query.service()).stream()
                 .filter(endpoint -> query.route().isHome(endpoint.region()))
+                .filter(endpoint -> !held.isHeld(endpoint, nowMillis))
                 .mapToDouble(endpoint -> loadOf(endpoint).waitMillis(endpoint.slots(), serviceMillis, nowMillis))
                 .min()
                 .orElse(0);
     }
 
+    /**
+     * Returns the time until the first endpoint of the home regions takes requests again, in milliseconds; empty if one
+     * may be taking them now, or if none has said when.
+     */
+    public OptionalLong pauseMillis(PlacementQuery query, long nowMillis) {
+        List<Endpoint> endpoints = view.usable(query.service()).stream()
+                .filter(endpoint -> query.route().isHome(endpoint.region()))
+                .toList();
+        return endpoints.stream().allMatch(endpoint -> held.isHeld(endpoint, nowMillis))
+                ? endpoints.stream()
+                        .map(endpoint -> held.pauseMillis(endpoint, nowMillis))
+                        .flatMapToLong(OptionalLong::stream)
+                        .min()
+                : OptionalLong.empty();
+    }
+
+    /** Returns the time until the pause of an endpoint ends, in milliseconds; empty if it has none or leaves. */
+    public OptionalLong pauseMillis(Endpoint endpoint, long nowMillis) {
+        return held.pauseMillis(endpoint, nowMillis);
+    }
+
+    /** Whether an endpoint that was chosen may still be sent the request. */
+    public boolean isHeld(Endpoint endpoint, long nowMillis) {
+        return held.isHeld(endpoint, nowMillis);
+    }
+
+    /** Records an endpoint's own word that it leaves; returns whether that is new. */
+    public boolean onLeaving(Endpoint endpoint) {
+        return held.onLeaving(endpoint);
+    }
+
+    /** Records an endpoint's own word that it wants a pause; returns whether it was taking requests before. */
+    public boolean onPause(Endpoint endpoint, long pauseMillis, long nowMillis) {
+        return held.onPause(endpoint, pauseMillis, nowMillis);
+    }
+
     /** Records that a request is sent to an endpoint. */
     public void onSent(Endpoint endpoint, PlacementQuery query, long nowMillis) {
         loadOf(endpoint).sent();
@@ -164,6 +204,7 @@
             EndpointLoad load = loadOf(endpoint);
             boolean usable = !query.tried().contains(endpoint.id())
                     && !endpoint.isCold(nowMillis)
+                    && held.mayReceive(endpoint, load.inFlight(), nowMillis)
                     && load.isSuspended(nowMillis) == suspended;
             if (!usable) {
                 continue;
@@ -196,7 +237,9 @@
                 load.resetColdTokens();
                 continue;
             }
-            boolean usable = !query.tried().contains(endpoint.id()) && !load.isSuspended(nowMillis);
+            boolean usable = !query.tried().contains(endpoint.id())
+                    && !load.isSuspended(nowMillis)
+                    && held.mayReceive(endpoint, load.inFlight(), nowMillis);
             if (usable
                     && load.tryAcquireColdToken(
                             coldRatePerSecond(query.service()), initialColdTokens(endpoint), nowMillis)) {
--- a/src/main/java/org/bulrushwheel/model/traffic/Endpoint.java
+++ b/src/main/java/org/bulrushwheel/model/traffic/Endpoint.java
@@ -5,7 +5,8 @@
  *
  * <p>Immutable and thread safe.
  *
- * @param id id of its incarnation
+ * @param id id of the endpoint
+ * @param bornEpochMillis start of this incarnation, in milliseconds since the epoch; 0 if unknown
  * @param service service that it belongs to
  * @param address IP and port
  * @param zone availability zone
@@ -14,7 +15,14 @@
  * @param coldDeadlineMillis monotonic time until which it is cold
  */
 public record Endpoint(
-        String id, String service, String address, String zone, String region, int slots, long coldDeadlineMillis) {
+        String id,
+        long bornEpochMillis,
+        String service,
+        String address,
+        String zone,
+        String region,
+        int slots,
+        long coldDeadlineMillis) {
     /** Whether the endpoint is cold at this monotonic time. */
     public boolean isCold(long nowMillis) {
         return nowMillis < coldDeadlineMillis;
--- a/src/main/java/org/bulrushwheel/server/edge/AnswerReader.java
+++ b/src/main/java/org/bulrushwheel/server/edge/AnswerReader.java
@@ -1,7 +1,9 @@
 package org.bulrushwheel.server.edge;
 
+import java.util.Optional;
 import java.util.OptionalInt;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 
@@ -41,6 +43,18 @@
         return !headerNames.signature().isEmpty() && !answer.headers().contains(headerNames.signature());
     }
 
+    /** Returns whether the endpoint says that it leaves. */
+    boolean isLeaving(EdgeAnswer answer) {
+        return answer.headers().contains(headerNames.leaving());
+    }
+
+    /** Returns the value of {@code Retry-After} in a rejection by the endpoint itself; empty if there is none. */
+    Optional<String> pause(EdgeAnswer answer) {
+        boolean rejects = answer.status().code() == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
+                && (isNotRun(answer) || !isUnsigned(answer));
+        return rejects ? Optional.ofNullable(answer.headers().get(HttpHeaderNames.RETRY_AFTER)) : Optional.empty();
+    }
+
     /** Returns the number of running plus waiting requests at the endpoint; empty if it did not report both. */
     OptionalInt load(EdgeAnswer answer) {
         String load = answer.headers().get(headerNames.load());
--- a/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
@@ -22,6 +22,7 @@
 import org.bulrushwheel.logic.placement.LongestAnswers;
 import org.bulrushwheel.logic.retry.ConnectPatience;
 import org.bulrushwheel.logic.retry.PoisonRegistry;
+import org.bulrushwheel.logic.retry.RetryAfter;
 import org.bulrushwheel.logic.retry.WindowedRetryBudget;
 import org.bulrushwheel.logic.time.TimeSource;
 import org.bulrushwheel.model.decision.Decision;
@@ -33,6 +34,8 @@
 import org.bulrushwheel.model.traffic.Endpoint;
 import org.bulrushwheel.model.traffic.ServicePolicy;
 import org.bulrushwheel.model.traffic.TrafficRoute;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * State that all exchanges of an entry instance share: the fleet view, connection pools, retry budgets, the registry of
@@ -41,6 +44,7 @@
  * <p>Not thread safe: confined to one event loop.
  */
 final class EdgeContext {
+    private static final Logger LOGGER = LoggerFactory.getLogger(EdgeContext.class);
     // TCP keep-alive detects connections whose peer vanished without closing them, within about three seconds.
     private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
     private static final int KEEP_ALIVE_PROBES = 2;
@@ -154,22 +158,47 @@
                 .with(DecisionField.LOAD, chooser.loadEstimate(endpoint, nowMillis())));
     }
 
-    /** Returns the connections to an endpoint; one that has started again at another address gets new ones. */
+    /** Handles what an endpoint says of itself in an answer: that it leaves, or that it wants a pause. */
+    void onEndpointSays(Endpoint endpoint, EdgeAnswer answer) {
+        if (answerReader.isLeaving(answer) && chooser.onLeaving(endpoint)) {
+            poolOf(endpoint).close();
+            recordHold(endpoint, "leaving");
+        }
+        answerReader.pause(answer).ifPresent(value -> {
+            OptionalLong pauseMillis = RetryAfter.parseMillis(value);
+            if (pauseMillis.isEmpty()) {
+                count("edge.pauses.unreadable");
+                LOGGER.debug("unreadable Retry-After endpoint={} value={}", endpoint.id(), value);
+            } else if (chooser.onPause(endpoint, pauseMillis.getAsLong(), nowMillis())) {
+                recordHold(endpoint, "pause");
+            }
+        });
+    }
+
+    private void recordHold(Endpoint endpoint, String reason) {
+        count("edge.holds." + reason);
+        OptionalLong pauseMillis = chooser.pauseMillis(endpoint, nowMillis());
+        Decision decision = Decision.of(DecisionKind.ENDPOINT_JUDGED)
+                .with(DecisionField.ENDPOINT, endpoint.id())
+                .with(DecisionField.SERVICE, endpoint.service())
+                .with(DecisionField.REASON, reason);
+        record(
+                pauseMillis.isPresent()
+                        ? decision.with(DecisionField.SUSPENDED_MILLIS, pauseMillis.getAsLong())
+                        : decision);
+    }
+
+    /** Returns the connections to an endpoint; one that has started again gets new ones. */
     EndpointPool poolOf(Endpoint endpoint) {
         EndpointPool existing = poolsByEndpoint.get(endpoint.id());
-        if (existing != null && !existing.isAt(endpoint.address())) {
+        if (existing != null && !existing.isTo(endpoint)) {
             existing.close();
             poolsByEndpoint.remove(endpoint.id());
         }
         return poolsByEndpoint.computeIfAbsent(
                 endpoint.id(),
                 id -> new EndpointPool(
-                        endpoint.address(),
-                        bootstrap,
-                        headerNames,
-                        time,
-                        link,
-                        () -> maxConnections(endpoint.service())));
+                        endpoint, bootstrap, headerNames, time, link, () -> maxConnections(endpoint.service())));
     }
 
     /** Returns this instance's equal share of the connections that an endpoint accepts from all instances together. */
--- a/src/main/java/org/bulrushwheel/server/edge/EdgeHeaders.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeHeaders.java
@@ -11,6 +11,7 @@
  * @param expectedInstance ID of the endpoint that the request is meant for
  * @param notExecuted present if the endpoint did not run the request
  * @param load running requests, waiting requests and slots of the endpoint, separated by commas
+ * @param leaving present if the endpoint leaves and wants no further requests
  * @param signature present if the response comes from the endpoint itself; empty name if endpoints do not sign
  */
 public record EdgeHeaders(
@@ -20,6 +21,7 @@
         String expectedInstance,
         String notExecuted,
         String load,
+        String leaving,
         String signature) {
     /** Default header names of Bulrushwheel. */
     public static final EdgeHeaders DEFAULT = new EdgeHeaders(
@@ -29,5 +31,6 @@
             "Bulrushwheel-Expected-Endpoint",
             "Bulrushwheel-Not-Executed",
             "Bulrushwheel-Load",
+            "Bulrushwheel-Leaving",
             "");
 }
--- a/src/main/java/org/bulrushwheel/server/edge/EndpointPool.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EndpointPool.java
@@ -15,6 +15,7 @@
 import org.bulrushwheel.logic.budget.LinkLoad;
 import org.bulrushwheel.logic.time.TimeSource;
 import org.bulrushwheel.model.instance.Address;
+import org.bulrushwheel.model.traffic.Endpoint;
 
 /**
  * Pool of this instance's connections to one endpoint.
@@ -32,7 +33,7 @@
     // scheduling delays.
     private static final double KEEP_ALIVE_USED_FRACTION = 0.85;
 
-    private final String endpointAddress;
+    private final Endpoint endpoint;
     private final Address address;
     private final Bootstrap bootstrap;
     private final EdgeHeaders headerNames;
@@ -44,14 +45,14 @@
     private boolean closed;
 
     EndpointPool(
-            String endpointAddress,
+            Endpoint endpoint,
             Bootstrap bootstrap,
             EdgeHeaders headerNames,
             TimeSource time,
             LinkLoad link,
             IntSupplier maxConnections) {
-        this.endpointAddress = endpointAddress;
-        this.address = Address.parse(endpointAddress);
+        this.endpoint = endpoint;
+        this.address = Address.parse(endpoint.address());
         this.bootstrap = bootstrap;
         this.headerNames = headerNames;
         this.time = time;
@@ -115,9 +116,10 @@
         }
     }
 
-    /** Whether the connections lead to this address. */
-    boolean isAt(String otherAddress) {
-        return endpointAddress.equals(otherAddress);
+    /** Whether the connections lead to this incarnation of the endpoint, and to where it is now. */
+    boolean isTo(Endpoint other) {
+        return endpoint.bornEpochMillis() == other.bornEpochMillis()
+                && endpoint.address().equals(other.address());
     }
 
     void close() {
--- a/src/main/java/org/bulrushwheel/server/edge/Exchange.java
+++ b/src/main/java/org/bulrushwheel/server/edge/Exchange.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import io.netty.buffer.ByteBuf;
@@ -244,7 +245,7 @@
             }
             return;
         }
-        if (!context.view().isUsable(endpoint)) {
+        if (!context.view().isUsable(endpoint) || context.chooser().isHeld(endpoint, context.nowMillis())) {
             acquired.get().close();
             endAttempt(endpoint);
             attempt();
@@ -287,6 +288,7 @@
         }
         long nowMillis = context.nowMillis();
         context.answerReader().load(answer).ifPresent(load -> context.onLoadReported(endpoint, load));
+        context.onEndpointSays(endpoint, answer);
         if (context.answerReader().isNotRun(answer)) {
             answer.body().release();
             if (context.answerReader().isMisdirected(answer)) {
@@ -331,6 +333,7 @@
         begun.ifPresent(toCaller -> {
             streamToCaller = toCaller;
             context.answerReader().load(answer).ifPresent(load -> context.onLoadReported(endpoint, load));
+            context.onEndpointSays(endpoint, answer);
             context.onRequestAnswered(request);
             context.chooser()
                     .onAnswer(
@@ -429,6 +432,10 @@
                 .map(callerTimeoutMillis -> callerTimeoutMillis - (nowMillis - request.receivedMillis()))
                 .orElse(deadlineMillis - nowMillis);
         PlacementQuery query = queryOf(java.util.Objects.requireNonNull(route));
+        OptionalLong pauseMillis = context.chooser().pauseMillis(query, nowMillis);
+        if (pauseMillis.isPresent()) {
+            return RetryAfter.afterPauseMillis(pauseMillis.getAsLong(), requestId());
+        }
         return RetryAfter.millis(context.chooser().minWaitMillis(query, nowMillis), callerMillis);
     }
 
