Apply a changed limit of headers to connections that are already open

Cause: the decoder of a connection gets the limit when the connection opens. The limits of bodies and times are read anew for each request.

Change: when bytes arrive on a connection that has nothing in progress, its codec is replaced if the limit has changed. A connection that always has requests in progress keeps the old one until it has none.

--- a/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
+++ b/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -27,6 +28,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -83,6 +85,7 @@
     private boolean receivedBytes;
     private boolean receivedObject;
     private boolean receivingHead;
+    private int maxHeaderBytes;
     private long lastActiveMillis;
 
     CallerConnection(EdgeContext context, EdgeServer server) {
@@ -157,11 +160,27 @@
                 receivedBytes = receivedBytes
                         || (message instanceof ByteBuf bytes
                                 && bytes.forEachByte(value -> value == '\r' || value == '\n') >= 0);
+                applyHeaderLimit(handlerContext);
                 handlerContext.fireChannelRead(message);
             }
         };
     }
 
+    /** Returns a decoder and encoder with the limit of headers that is in force. */
+    HttpServerCodec newCodec() {
+        maxHeaderBytes = limits().maxHeaderBytes();
+        return new HttpServerCodec(
+                new HttpDecoderConfig().setMaxInitialLineLength(maxHeaderBytes).setMaxHeaderSize(maxHeaderBytes));
+    }
+
+    /** Replaces the codec after the limit of headers has changed, as soon as it has nothing in progress. */
+    private void applyHeaderLimit(ChannelHandlerContext handlerContext) {
+        boolean inProgress = receivingHead || head != null || !pendingRequests.isEmpty() || closing || inputEnded;
+        if (!inProgress && maxHeaderBytes != limits().maxHeaderBytes()) {
+            handlerContext.pipeline().replace(HttpServerCodec.class, null, newCodec());
+        }
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext handlerContext) {
         if (receivedBytes && !receivedObject && head == null) {
--- a/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
@@ -14,16 +14,12 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
 import org.bulrushwheel.kernel.KernelService;
 import org.bulrushwheel.logic.fleet.FleetView;
 import org.bulrushwheel.logic.time.TimeSource;
 import org.bulrushwheel.model.decision.DecisionSink;
 import org.bulrushwheel.model.proto.PoisonRecord;
 import org.bulrushwheel.model.proto.SeenLoad;
-import org.bulrushwheel.model.traffic.CallerLimits;
-import org.bulrushwheel.model.traffic.TrafficConfiguration;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -124,7 +120,7 @@
                         CallerConnection connection = new CallerConnection(context, EdgeServer.this);
                         channel.pipeline()
                                 .addLast(connection.byteObserver())
-                                .addLast(new HttpServerCodec(decoderConfig()))
+                                .addLast(connection.newCodec())
                                 .addLast(connection);
                     }
                 })
@@ -188,14 +184,6 @@
         openConnections = connections.size();
     }
 
-    private HttpDecoderConfig decoderConfig() {
-        CallerLimits limits =
-                context.view().traffic().map(TrafficConfiguration::limits).orElse(CallerLimits.DEFAULT);
-        return new HttpDecoderConfig()
-                .setMaxInitialLineLength(limits.maxHeaderBytes())
-                .setMaxHeaderSize(limits.maxHeaderBytes());
-    }
-
     private static void sleepUntil(long targetNanos, long deadlineNanos) {
         long untilNanos = targetNanos - deadlineNanos < 0 ? targetNanos : deadlineNanos;
         try {
--- a/src/test/java/org/bulrushwheel/server/edge/EdgeFixture.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeFixture.java
@@ -79,10 +79,16 @@
 
     /** Applies the configuration {@link #TRAFFIC} and these endpoints. */
     void configure(List<EndpointRecord> endpoints) {
-        update(FleetUpdate.newBuilder()
+        update(traffic(1, TRAFFIC).addAllEndpoints(endpoints));
+    }
+
+    /** Returns an update to a version of the configuration. */
+    static FleetUpdate.Builder traffic(int version, String document) {
+        return FleetUpdate.newBuilder()
                 .setHasTraffic(true)
-                .setTraffic(TrafficDocument.newBuilder().setVersion(1).setDocument(ByteString.copyFromUtf8(TRAFFIC)))
-                .addAllEndpoints(endpoints));
+                .setTraffic(TrafficDocument.newBuilder()
+                        .setVersion(version)
+                        .setDocument(ByteString.copyFromUtf8(document)));
     }
 
     void update(FleetUpdate.Builder update) {
