--- a/src/test/java/org/bulrushwheel/logic/raft/RaftCluster.java
+++ b/src/test/java/org/bulrushwheel/logic/raft/RaftCluster.java
@@ -40,6 +40,9 @@
     private final PriorityQueue<Delivery> network =
             new PriorityQueue<>(Comparator.comparingLong(Delivery::atMillis).thenComparingLong(Delivery::sequence));
 
+    /** A command that a leader has taken; another one may be committed at its index in a later term. */
+    private record Proposal(String name, long term) {}
+
     private record Delivery(long atMillis, long sequence, RaftMessage message) {}
 
     /** One replica. Its synced disk content survives a crash of the node. */
@@ -51,7 +54,7 @@
         RaftNode node;
         ControlState state;
         long applied;
-        final Map<Long, String> proposed = new HashMap<>();
+        final Map<Long, Proposal> proposed = new HashMap<>();
         boolean isDiskFull;
 
         Replica(String id, Voters voters) {
@@ -107,6 +110,8 @@
         }
 
         void takeSnapshot(long retainedEntries) {
+            // A control instance takes snapshots with no work pending; what is pending would be stored twice.
+            processReady(false, false);
             if (applied <= snapshot.getLastIndex()) {
                 return;
             }
@@ -150,8 +155,9 @@
                     "index " + entry.getIndex() + " has two different committed entries");
             CommandResult result =
                     entry.hasVoters() ? CommandResult.getDefaultInstance() : state.apply(entry.getCommand());
-            if (proposed.containsKey(entry.getIndex()) && entry.getTerm() == node.term()) {
-                results.putIfAbsent(proposed.get(entry.getIndex()), result);
+            Proposal proposal = proposed.get(entry.getIndex());
+            if (proposal != null && entry.getTerm() == proposal.term()) {
+                results.putIfAbsent(proposal.name(), result);
             }
         }
     }
@@ -196,9 +202,12 @@
 
     /** Proposes to the leader. Once the leader has applied the command, {@link #results} holds its result by name. */
     boolean propose(String name, Command command) {
-        return leader().flatMap(
-                        leader -> leader.node.propose(command).map(index -> leader.proposed.put(index, name) == null))
-                .isPresent();
+        Optional<Replica> leader = leader();
+        Optional<Long> index = leader.flatMap(replica -> replica.node.propose(command));
+        index.ifPresent(taken -> leader.get()
+                .proposed
+                .put(taken, new Proposal(name, leader.get().node.term())));
+        return index.isPresent();
     }
 
     private void send(RaftMessage message) {
