--- a/src/test/java/org/bulrushwheel/server/edge/CrashingRequestTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/CrashingRequestTest.java
@@ -1,11 +1,9 @@
 package org.bulrushwheel.server.edge;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
-import org.bulrushwheel.model.proto.EndpointRecord;
 import org.bulrushwheel.model.proto.PoisonRecord;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -20,39 +18,17 @@
 @Timeout(30)
 class CrashingRequestTest {
     private final EdgeFixture edge = new EdgeFixture();
-    private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
 
     @AfterEach
-    void close() throws IOException {
+    void close() {
         edge.close();
-        for (ScriptedEndpoint endpoint : endpoints) {
-            endpoint.close();
-        }
-    }
-
-    private ScriptedEndpoint endpoint(ScriptedEndpoint.Script script) throws IOException {
-        ScriptedEndpoint endpoint = new ScriptedEndpoint(script);
-        endpoints.add(endpoint);
-        return endpoint;
-    }
-
-    private void serve(int count, ScriptedEndpoint.Script script) throws IOException {
-        List<EndpointRecord> records = new ArrayList<>();
-        for (int index = 0; index < count; index++) {
-            records.add(EdgeFixture.endpoint("e" + index, endpoint(script)));
-        }
-        edge.configure(records);
-    }
-
-    private int totalReceived() {
-        return endpoints.stream().mapToInt(each -> each.received().size()).sum();
     }
 
     /** Guards against a page that is refused for minutes because two of its answers were lost. */
     @ParameterizedTest
     @CsvSource({"reset, 200", "crash, 503"})
     void onlyRequestsThatEndedTheirEndpointsAreRefusedLater(String end, String expectedStatus) throws Exception {
-        serve(4, (request, connection) -> {
+        edge.serve(4, (request, connection) -> {
             if (!request.header("Bulrushwheel-Request-Id").equals("a1")) {
                 connection.send(ScriptedEndpoint.ok(request, "whole"));
             } else if (end.equals("crash")) {
@@ -69,26 +45,26 @@
 
     @Test
     void requestThatCrashedTwoEndpointsIsNotSentToThird() throws IOException {
-        serve(5, (request, connection) -> connection.crash());
+        edge.serve(5, (request, connection) -> connection.crash());
         List<PoisonRecord> records = new CopyOnWriteArrayList<>();
         edge.server().setPoisonListener(records::add);
         for (int attempt = 0; attempt < 4; attempt++) {
             edge.call("/read/x", "a" + attempt);
         }
-        assertEquals(2, totalReceived());
+        assertEquals(2, edge.totalReceived());
         assertEquals(2, records.size());
         assertTrue(edge.call("/read/other", "b1").startsWith("HTTP/1.1 502"), "a different request is not poison");
     }
 
     @Test
     void requestThatCrashedEndpointsAtAnotherInstanceIsRefused() throws IOException {
-        serve(2, (request, connection) -> connection.crash());
+        edge.serve(2, (request, connection) -> connection.crash());
         List<PoisonRecord> records = new CopyOnWriteArrayList<>();
         edge.server().setPoisonListener(records::add);
         edge.call("/read/x", "a1");
         try (EdgeFixture other = new EdgeFixture()) {
             ScriptedEndpoint healthy =
-                    endpoint((request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
+                    edge.start((request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
             other.configure(List.of(EdgeFixture.endpoint("e9", healthy)));
             other.mergePoison(records);
             assertTrue(other.call("/read/x", "a2").startsWith("HTTP/1.1 503"));
--- a/src/test/java/org/bulrushwheel/server/edge/EdgeFixture.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeFixture.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -54,6 +56,7 @@
             new Address("127.0.0.1", LoopbackPorts.free(1).get(0));
     private final EdgeServer server;
     private final List<Decision> decisions = new CopyOnWriteArrayList<>();
+    private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
     private FleetView view = FleetView.empty();
 
     EdgeFixture() {
@@ -82,6 +85,32 @@
         update(traffic(1, TRAFFIC).addAllEndpoints(endpoints));
     }
 
+    /** Configures endpoints e0, e1 and so on, all with the same script. */
+    void serve(int count, ScriptedEndpoint.Script script) throws IOException {
+        List<EndpointRecord> records = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            records.add(endpoint("e" + index, start(script)));
+        }
+        configure(records);
+    }
+
+    /** Starts an endpoint that ends with this fixture. */
+    ScriptedEndpoint start(ScriptedEndpoint.Script script) throws IOException {
+        ScriptedEndpoint endpoint = new ScriptedEndpoint(script);
+        endpoints.add(endpoint);
+        return endpoint;
+    }
+
+    /** Returns the endpoints that were started, in this order. */
+    List<ScriptedEndpoint> endpoints() {
+        return endpoints;
+    }
+
+    /** Returns how many requests these endpoints have received together. */
+    int totalReceived() {
+        return endpoints.stream().mapToInt(each -> each.received().size()).sum();
+    }
+
     /** Returns an update to a version of the configuration. */
     static FleetUpdate.Builder traffic(int version, String document) {
         return FleetUpdate.newBuilder()
@@ -166,5 +195,12 @@
     public void close() {
         server.stop();
         loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2, TimeUnit.SECONDS);
+        try {
+            for (ScriptedEndpoint endpoint : endpoints) {
+                endpoint.close();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 }
--- a/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeServerTest.java
@@ -29,43 +29,20 @@
 @Timeout(30)
 class EdgeServerTest {
     private final EdgeFixture edge = new EdgeFixture();
-    private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
 
     @AfterEach
-    void close() throws IOException {
+    void close() {
         edge.close();
-        for (ScriptedEndpoint endpoint : endpoints) {
-            endpoint.close();
-        }
-    }
-
-    private ScriptedEndpoint endpoint(ScriptedEndpoint.Script script) throws IOException {
-        ScriptedEndpoint endpoint = new ScriptedEndpoint(script);
-        endpoints.add(endpoint);
-        return endpoint;
-    }
-
-    /** Configures endpoints e0, e1 and so on, all with the same script. */
-    private void serve(int count, ScriptedEndpoint.Script script) throws IOException {
-        List<EndpointRecord> records = new ArrayList<>();
-        for (int index = 0; index < count; index++) {
-            records.add(EdgeFixture.endpoint("e" + index, endpoint(script)));
-        }
-        edge.configure(records);
-    }
-
-    private int totalReceived() {
-        return endpoints.stream().mapToInt(each -> each.received().size()).sum();
     }
 
     @Test
     void forwardedRequestHasItsIdExpectedEndpointAndRemainingTimeout() throws IOException {
-        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "whole")));
+        edge.serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "whole")));
         String answer =
                 edge.sendRaw("POST /file/x?y=%20z HTTP/1.1\r\nHost: host.example\r\nBulrushwheel-Request-Id: a1\r\n"
                         + "Bulrushwheel-Timeout-Millis: 1200\r\nX-Other: kept\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\n"
                         + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
-        ScriptedEndpoint.Received forwarded = endpoints.get(0).received().get(0);
+        ScriptedEndpoint.Received forwarded = edge.endpoints().get(0).received().get(0);
         assertTrue(answer.startsWith("HTTP/1.1 200 OK"), answer);
         assertTrue(answer.endsWith("whole"), answer);
         assertEquals("POST /file/x?y=%20z HTTP/1.1", forwarded.line());
@@ -86,16 +63,16 @@
 
     @Test
     void unknownRouteIsNotFound() throws IOException {
-        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
+        edge.serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
         assertTrue(edge.call("/nowhere/x", "a1").startsWith("HTTP/1.1 404"));
-        assertEquals(0, totalReceived());
+        assertEquals(0, edge.totalReceived());
     }
 
     @ParameterizedTest
     @CsvSource({"/read/x, 200, 2", "/file/x, 502, 1"})
     void truncatedAnswerIsRetriedOnlyOnRepeatableRoute(String path, String status, int runs) throws IOException {
         AtomicInteger count = new AtomicInteger();
-        serve(2, (request, connection) -> {
+        edge.serve(2, (request, connection) -> {
             if (count.getAndIncrement() == 0) {
                 connection.send("HTTP/1.1 200 OK\r\nBulrushwheel-Request-Id: "
                         + request.header("Bulrushwheel-Request-Id") + "\r\nContent-Length: 10\r\n\r\nhalf");
@@ -107,12 +84,12 @@
         String answer = edge.call(path, "a1");
         assertTrue(answer.startsWith("HTTP/1.1 " + status), answer);
         assertFalse(answer.contains("half"), answer);
-        assertEquals(runs, totalReceived());
+        assertEquals(runs, edge.totalReceived());
     }
 
     @Test
     void answerWithoutLengthThatEndsWithResetIsIncomplete() throws IOException {
-        serve(1, (request, connection) -> {
+        edge.serve(1, (request, connection) -> {
             connection.send("HTTP/1.1 200 OK\r\nBulrushwheel-Request-Id: a1\r\n\r\nhalf");
             Thread.sleep(50);
             connection.reset();
@@ -122,7 +99,7 @@
 
     @Test
     void answerWithoutLengthEndsWithItsConnection() throws IOException {
-        serve(1, (request, connection) -> {
+        edge.serve(1, (request, connection) -> {
             connection.send("HTTP/1.1 200 OK\r\nBulrushwheel-Request-Id: a1\r\n\r\nall of it");
             connection.socket().close();
         });
@@ -135,30 +112,30 @@
     @ValueSource(strings = {"/read/x", "/file/x"})
     void notExecutedRequestIsSentToAnotherEndpoint(String path) throws IOException {
         AtomicInteger count = new AtomicInteger();
-        serve(
+        edge.serve(
                 2,
                 (request, connection) -> connection.send(
                         count.getAndIncrement() == 0
                                 ? ScriptedEndpoint.notExecuted()
                                 : ScriptedEndpoint.ok(request, "whole")));
         assertTrue(edge.call(path, "a1").startsWith("HTTP/1.1 200"));
-        assertEquals(2, totalReceived());
+        assertEquals(2, edge.totalReceived());
     }
 
     @Test
     void requestThatNoEndpointRanIsRefusedWithRetryAfter() throws IOException {
-        serve(3, (request, connection) -> connection.send(ScriptedEndpoint.notExecuted()));
+        edge.serve(3, (request, connection) -> connection.send(ScriptedEndpoint.notExecuted()));
         String answer = edge.call("/file/x", "a1");
         assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
         assertTrue(answer.toLowerCase().contains("retry-after"), answer);
-        assertEquals(2, totalReceived(), "the route allows two attempts");
+        assertEquals(2, edge.totalReceived(), "the route allows two attempts");
     }
 
     @ParameterizedTest
     @ValueSource(strings = {"/read/x", "/file/x"})
     void requestThatMayHaveRunIsNeverReportedAsNotRun(String path) throws IOException {
         AtomicInteger count = new AtomicInteger();
-        serve(2, (request, connection) -> {
+        edge.serve(2, (request, connection) -> {
             if (count.getAndIncrement() == 0) {
                 connection.reset();
             } else {
@@ -170,7 +147,7 @@
 
     @Test
     void lateAnswerToEarlierRequestIsNotDeliveredToNextRequest() throws IOException {
-        serve(1, (request, connection) -> {
+        edge.serve(1, (request, connection) -> {
             String answer = ScriptedEndpoint.ok(request, "of " + request.header("Bulrushwheel-Request-Id"));
             if (request.header("Bulrushwheel-Request-Id").equals("a2")) {
                 connection.send("HTTP/1.1 200 OK\r\nBulrushwheel-Request-Id: a1\r\nContent-Length: 5\r\n\r\nof a1");
@@ -184,7 +161,7 @@
     @Test
     void answersToPipelinedRequestsAreSentInRequestOrder() throws IOException {
         CountDownLatch second = new CountDownLatch(1);
-        serve(2, (request, connection) -> {
+        edge.serve(2, (request, connection) -> {
             String id = request.header("Bulrushwheel-Request-Id");
             if (id.equals("a1")) {
                 // Answered only after the second request, which shows that both are processed concurrently.
@@ -203,17 +180,17 @@
 
     @Test
     void onceRequestWaitsForPrecedingPipelinedRequests() throws IOException {
-        serve(2, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
+        edge.serve(2, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
         edge.sendRaw(EdgeFixture.get("/read/x", "a1").replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n")
                 + EdgeFixture.get("/file/x", "a2"));
-        assertEquals(1, totalReceived(), "a request after Connection: close was run");
+        assertEquals(1, edge.totalReceived(), "a request after Connection: close was run");
     }
 
     @Test
     void endpointConnectionIsClosedWhenCallerDisconnects() throws Exception {
         CompletableFuture<Boolean> ended = new CompletableFuture<>();
         CountDownLatch requestArrived = new CountDownLatch(1);
-        serve(1, (request, connection) -> {
+        edge.serve(1, (request, connection) -> {
             requestArrived.countDown();
             ended.complete(connection.isClosedWithin(1_000));
         });
@@ -226,7 +203,7 @@
 
     @Test
     void requestWithoutAnswerTimesOutAtDeadline() throws IOException {
-        serve(1, (request, connection) -> Thread.sleep(5_000));
+        edge.serve(1, (request, connection) -> Thread.sleep(5_000));
         assertTrue(edge.call("/read/x", "a1").startsWith("HTTP/1.1 504"));
     }
 
@@ -238,36 +215,36 @@
         "'NONSENSE\r\n\r\n', 400"
     })
     void ambiguousRequestReachesNoEndpoint(String bytes, String status) throws IOException {
-        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
+        edge.serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
         String answer = edge.sendRaw(bytes);
         assertTrue(answer.startsWith("HTTP/1.1 " + status), answer);
-        assertEquals(0, totalReceived());
+        assertEquals(0, edge.totalReceived());
     }
 
     @Test
     void oversizedHeadersAndBodiesAreRejected() throws IOException {
-        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
+        edge.serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
         String head = "GET /read/x HTTP/1.1\r\nHost: host.example\r\nX-Long: " + "a".repeat(20_000) + "\r\n\r\n";
         assertTrue(edge.sendRaw(head).startsWith("HTTP/1.1 431"));
         String body = "POST /file/x HTTP/1.1\r\nHost: host.example\r\nContent-Length: 1001\r\n\r\n" + "a".repeat(1_001);
         assertTrue(edge.sendRaw(body).startsWith("HTTP/1.1 413"));
-        assertEquals(0, totalReceived());
+        assertEquals(0, edge.totalReceived());
     }
 
     @Test
     void drainingOrEvacuatedEndpointGetsNoRequests() throws IOException {
-        serve(2, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
+        edge.serve(2, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
         edge.update(FleetUpdate.newBuilder()
-                .addEndpoints(EdgeFixture.endpoint("e0", endpoints.get(0)).toBuilder()
+                .addEndpoints(EdgeFixture.endpoint("e0", edge.endpoints().get(0)).toBuilder()
                         .setState(EndpointRecord.State.DRAINING)));
         for (int index = 0; index < 10; index++) {
             assertTrue(edge.call("/read/x" + index, "a" + index).startsWith("HTTP/1.1 200"));
         }
-        assertEquals(0, endpoints.get(0).received().size());
+        assertEquals(0, edge.endpoints().get(0).received().size());
         edge.update(FleetUpdate.newBuilder()
                 .addEvacuations(ZoneEvacuation.newBuilder().setZone("z").setActive(true)));
         assertTrue(edge.call("/read/x", "b1").startsWith("HTTP/1.1 503"));
-        assertEquals(10, totalReceived());
+        assertEquals(10, edge.totalReceived());
     }
 
     /** Guards against requests that reach an endpoint when a partition ends, seconds after they were given up. */
@@ -275,7 +252,7 @@
     @ValueSource(strings = {"/read/x", "/file/x"})
     void connectionOfARequestThatIsGivenUpIsReset(String path) throws Exception {
         CompletableFuture<Boolean> isReset = new CompletableFuture<>();
-        serve(1, (request, connection) -> {
+        edge.serve(1, (request, connection) -> {
             try {
                 isReset.complete(connection.socket().getInputStream().read() >= 0);
             } catch (IOException e) {
@@ -290,20 +267,20 @@
     @ParameterizedTest
     @ValueSource(strings = {"/read/x", "/file/x"})
     void endpointThatStartsAgainAtAnotherAddressGetsItsRequestsThere(String path) throws IOException {
-        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "former")));
+        edge.serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "former")));
         assertTrue(edge.call(path, "a1").endsWith("former"));
         ScriptedEndpoint restarted =
-                endpoint((request, connection) -> connection.send(ScriptedEndpoint.ok(request, "restarted")));
+                edge.start((request, connection) -> connection.send(ScriptedEndpoint.ok(request, "restarted")));
         edge.update(FleetUpdate.newBuilder()
                 .addEndpoints(EdgeFixture.endpoint("e0", restarted).toBuilder().setBornEpochMillis(2)));
         assertTrue(edge.call(path, "a2").endsWith("restarted"));
-        assertEquals(1, endpoints.get(0).received().size());
+        assertEquals(1, edge.endpoints().get(0).received().size());
     }
 
     @Test
     void drainCompletesRequestInFlight() throws Exception {
         CountDownLatch requestArrived = new CountDownLatch(1);
-        serve(1, (request, connection) -> {
+        edge.serve(1, (request, connection) -> {
             requestArrived.countDown();
             Thread.sleep(700);
             connection.send(ScriptedEndpoint.ok(request, "whole"));
@@ -328,7 +305,7 @@
     @CsvSource({"-50, 0, 600", "2000, 0, 2700", "-50, 20, 2600", "-50, 1000, 2800"})
     void stopAnswersRequestOnItsWayOnAcceptedConnection(long connectAt, int bytesSentAtOnce, long restSentAt)
             throws Exception {
-        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "whole")));
+        edge.serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "whole")));
         byte[] request = (POST_HEAD + "abc").getBytes(StandardCharsets.ISO_8859_1);
         int firstPart = Math.min(bytesSentAtOnce, request.length - 2);
         long stopNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Math.max(0, -connectAt));
@@ -360,14 +337,14 @@
 
     @Test
     void headersThatNeverEndAreRejectedAfterTheHeaderTimeout() throws IOException {
-        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
+        edge.serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "x")));
         assertTrue(edge.sendRaw("GET /read/x HTTP/1.1\r\nHost: host.exa").startsWith("HTTP/1.1 408"));
-        assertEquals(0, totalReceived());
+        assertEquals(0, edge.totalReceived());
     }
 
     @Test
     void emptyLineBetweenRequestsIsNotTakenForTheBeginningOfHeaders() throws Exception {
-        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "whole")));
+        edge.serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "whole")));
         try (Socket caller = edge.connect()) {
             caller.getOutputStream().write("\r\n".getBytes(StandardCharsets.ISO_8859_1));
             // Longer than the header timeout.
@@ -382,7 +359,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"NONSENSE\r\n\r\n", "GET /read/x HTTP/1.1\r\n\r\n"})
     void malformedRequestIsRejectedAfterTheAnswersToThePrecedingOnes(String malformed) throws IOException {
-        serve(1, (request, connection) -> {
+        edge.serve(1, (request, connection) -> {
             Thread.sleep(200);
             connection.send(ScriptedEndpoint.ok(request, "[" + request.header("Bulrushwheel-Request-Id") + "]"));
         });
@@ -393,7 +370,7 @@
 
     @Test
     void stopEndsSoonWhileCallersKeepIdleConnections() throws Exception {
-        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "whole")));
+        edge.serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "whole")));
         try (Socket caller = edge.connect()) {
             edge.call("/read/other", "b1");
             edge.server().drain(System.nanoTime() + TimeUnit.SECONDS.toNanos(20));
@@ -409,7 +386,7 @@
     @Test
     void requestWithBrokenAnswersIsNotTakenForOneThatCrashesEndpoints() throws IOException {
         AtomicInteger count = new AtomicInteger();
-        serve(2, (request, connection) -> {
+        edge.serve(2, (request, connection) -> {
             if (count.getAndIncrement() < 2) {
                 connection.send(garbled(request));
                 connection.socket().close();
@@ -425,7 +402,7 @@
     void requestThatMeetsForgottenConnectionIsRetriedOnNewOne() throws IOException {
         Set<Socket> used = ConcurrentHashMap.newKeySet();
         AtomicInteger count = new AtomicInteger();
-        serve(2, (request, connection) -> {
+        edge.serve(2, (request, connection) -> {
             if (!used.add(connection.socket())) {
                 connection.reset();
             } else if (count.getAndIncrement() == 0) {
@@ -444,7 +421,7 @@
     @CsvSource({"1, 6", "50, 2", "100, 1", "6700, 1"})
     void idleConnectionsStayWithinTheShareOfThisInstance(int entryInstances, int expected) throws Exception {
         CountDownLatch allArrived = new CountDownLatch(6);
-        serve(1, (request, connection) -> {
+        edge.serve(1, (request, connection) -> {
             allArrived.countDown();
             allArrived.await(5, TimeUnit.SECONDS);
             connection.send(ScriptedEndpoint.ok(request, "x"));
@@ -465,10 +442,10 @@
             caller.get(10, TimeUnit.SECONDS);
         }
         long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(2);
-        while (endpoints.get(0).openConnections() != expected && System.nanoTime() - deadlineNanos < 0) {
+        while (edge.endpoints().get(0).openConnections() != expected && System.nanoTime() - deadlineNanos < 0) {
             Thread.sleep(10);
         }
-        assertEquals(expected, endpoints.get(0).openConnections());
+        assertEquals(expected, edge.endpoints().get(0).openConnections());
     }
 
     /**
@@ -479,7 +456,7 @@
     @ValueSource(strings = {"127.0.0.1:80800", "127.0.0.1", "127.0.0.1:x", ":80", ""})
     void endpointWithUnusableAddressGetsNoRequests(String address) throws IOException {
         ScriptedEndpoint sound =
-                endpoint((request, connection) -> connection.send(ScriptedEndpoint.ok(request, "whole")));
+                edge.start((request, connection) -> connection.send(ScriptedEndpoint.ok(request, "whole")));
         EndpointRecord usable = EdgeFixture.endpoint("e0", sound);
         edge.configure(List.of(
                 usable, usable.toBuilder().setId("stray").setAddress(address).build()));
@@ -495,7 +472,7 @@
     @CsvSource({"240, 5, 100", "300, 1, 100", "300, 40000, 100", "3200, 40000, 2600"})
     void drainEndsConnectionsThatNeverRunEmpty(long answerMillis, int answerBytes, long sendEveryMillis)
             throws Exception {
-        serve(8, (request, connection) -> {
+        edge.serve(8, (request, connection) -> {
             String answer = ScriptedEndpoint.ok(request, "x".repeat(answerBytes));
             int lastBytes = (answerBytes + 1) / 2;
             connection.send(answer.substring(0, answer.length() - lastBytes));
@@ -530,8 +507,8 @@
             sender.interrupt();
             sender.join();
             int whole = answers.split("x{" + answerBytes + "}", -1).length - 1;
-            assertTrue(totalReceived() < sent.get(), "the caller sent requests until the end");
-            assertEquals(totalReceived(), whole, "every request that an endpoint received is answered");
+            assertTrue(edge.totalReceived() < sent.get(), "the caller sent requests until the end");
+            assertEquals(edge.totalReceived(), whole, "every request that an endpoint received is answered");
             assertTrue(drainMillis < 5_600, "took " + drainMillis + " ms");
         }
     }
@@ -554,7 +531,7 @@
         String refusal = "HTTP/1.1 " + refusalStatus + " Refused\r\nBulrushwheel-Not-Executed: 1\r\n"
                 + (refusalId.isEmpty() ? "" : "Bulrushwheel-Request-Id: " + refusalId + "\r\n")
                 + "Content-Length: 0\r\n\r\n";
-        serve(1, (request, connection) -> {
+        edge.serve(1, (request, connection) -> {
             connection.send(refusal);
             if (request.header("Bulrushwheel-Request-Id").equals("a2")) {
                 Thread.sleep(50);
@@ -565,7 +542,7 @@
         // On the kept connection, where the endpoint would have to be asked again.
         String answer = edge.call(path, "a2");
         assertTrue(answer.startsWith("HTTP/1.1 " + expectedStatus), answer);
-        assertEquals(2, totalReceived());
+        assertEquals(2, edge.totalReceived());
     }
 
     /** Guards against an answer that breaks off in its head and reaches the caller as whole, with an empty body. */
@@ -580,7 +557,7 @@
     void answerThatEndsInItsHeadIsNotWhole(String rest) throws IOException {
         String bytes = "HTTP/1.1 200 OK\r\nBulrushwheel-Request-Id: a1\r\n" + rest;
         AtomicInteger length = new AtomicInteger();
-        serve(1, (request, connection) -> {
+        edge.serve(1, (request, connection) -> {
             connection.send(bytes.substring(0, length.get()));
             connection.socket().close();
         });
--- a/src/test/java/org/bulrushwheel/server/edge/LeavingEndpointTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/LeavingEndpointTest.java
@@ -1,8 +1,6 @@
 package org.bulrushwheel.server.edge;
 
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.List;
 
 import org.bulrushwheel.model.decision.DecisionField;
 import org.bulrushwheel.model.decision.DecisionKind;
@@ -23,32 +21,14 @@
     private static final String LEAVING = "Bulrushwheel-Leaving: 1\r\n";
 
     private final EdgeFixture edge = new EdgeFixture();
-    private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
 
     @AfterEach
-    void close() throws IOException {
+    void close() {
         edge.close();
-        for (ScriptedEndpoint endpoint : endpoints) {
-            endpoint.close();
-        }
-    }
-
-    private ScriptedEndpoint endpoint(ScriptedEndpoint.Script script) throws IOException {
-        ScriptedEndpoint endpoint = new ScriptedEndpoint(script);
-        endpoints.add(endpoint);
-        return endpoint;
-    }
-
-    private void serve(int count, ScriptedEndpoint.Script script) throws IOException {
-        List<EndpointRecord> records = new ArrayList<>();
-        for (int index = 0; index < count; index++) {
-            records.add(EdgeFixture.endpoint("e" + index, endpoint(script)));
-        }
-        edge.configure(records);
     }
 
     private int received(int endpoint) {
-        return endpoints.get(endpoint).received().size();
+        return edge.endpoints().get(endpoint).received().size();
     }
 
     private static String answer(ScriptedEndpoint.Received request, String kind, String header) {
@@ -68,19 +48,19 @@
     @ParameterizedTest
     @ValueSource(strings = {"success", "refusal", "misdirected", "streamed"})
     void endpointThatSaysThatItLeavesGetsNothingMore(String kind) throws IOException {
-        serve(1, (request, connection) -> connection.send(answer(request, kind, LEAVING)));
+        edge.serve(1, (request, connection) -> connection.send(answer(request, kind, LEAVING)));
         edge.call("/read/x", "a1");
         // A late heartbeat of the same incarnation changes nothing.
         edge.update(FleetUpdate.newBuilder()
-                .addEndpoints(EdgeFixture.endpoint("e0", endpoints.get(0)).toBuilder()
+                .addEndpoints(EdgeFixture.endpoint("e0", edge.endpoints().get(0)).toBuilder()
                         .setSequence(9)
                         .setSlots(5)));
         assertTrue(edge.call("/read/x", "a2").startsWith("HTTP/1.1 503"));
         assertEquals(1, received(0));
-        assertEquals(0, endpoints.get(0).openConnections());
+        assertEquals(0, edge.endpoints().get(0).openConnections());
         edge.update(FleetUpdate.newBuilder()
-                .addEndpoints(
-                        EdgeFixture.endpoint("e0", endpoints.get(0)).toBuilder().setBornEpochMillis(7)));
+                .addEndpoints(EdgeFixture.endpoint("e0", edge.endpoints().get(0)).toBuilder()
+                        .setBornEpochMillis(7)));
         edge.call("/read/x", "a3");
         assertEquals(2, received(0), "a new incarnation is used at once");
         assertEquals(
@@ -104,7 +84,7 @@
     })
     void endpointThatWantsAPauseGetsNothingUntilItsEnd(String retryAfter, int status, double atLeastSeconds)
             throws Exception {
-        serve(
+        edge.serve(
                 1,
                 (request, connection) -> connection.send(
                         request.header("Bulrushwheel-Request-Id").equals("a1")
@@ -127,9 +107,9 @@
     @ParameterizedTest
     @ValueSource(strings = {LEAVING, "Retry-After: 60\r\n"})
     void otherEndpointsServeMeanwhile(String header) throws IOException {
-        serve(3, (request, connection) -> connection.send(answer(request, "success", "")));
+        edge.serve(3, (request, connection) -> connection.send(answer(request, "success", "")));
         EndpointRecord held = EdgeFixture.endpoint(
-                "e3", endpoint((request, connection) -> connection.send(answer(request, "refusal", header))));
+                "e3", edge.start((request, connection) -> connection.send(answer(request, "refusal", header))));
         edge.update(FleetUpdate.newBuilder().addEndpoints(held));
         for (int number = 0; number < 40; number++) {
             String request = EdgeFixture.get("/read/x", "a" + number)
--- a/src/test/java/org/bulrushwheel/server/edge/RequestDecisionsTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/RequestDecisionsTest.java
@@ -1,14 +1,12 @@
 package org.bulrushwheel.server.edge;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
 
 import org.bulrushwheel.model.decision.Decision;
 import org.bulrushwheel.model.decision.DecisionField;
 import org.bulrushwheel.model.decision.DecisionKind;
-import org.bulrushwheel.model.proto.EndpointRecord;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -20,29 +18,15 @@
 @Timeout(30)
 class RequestDecisionsTest {
     private final EdgeFixture edge = new EdgeFixture();
-    private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
 
     @AfterEach
-    void close() throws IOException {
+    void close() {
         edge.close();
-        for (ScriptedEndpoint endpoint : endpoints) {
-            endpoint.close();
-        }
-    }
-
-    private void serve(int count, ScriptedEndpoint.Script script) throws IOException {
-        List<EndpointRecord> records = new ArrayList<>();
-        for (int index = 0; index < count; index++) {
-            ScriptedEndpoint endpoint = new ScriptedEndpoint(script);
-            endpoints.add(endpoint);
-            records.add(EdgeFixture.endpoint("e" + index, endpoint));
-        }
-        edge.configure(records);
     }
 
     @Test
     void answeredRequestRecordsEndpointAndConfigurationVersion() throws IOException {
-        serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "whole")));
+        edge.serve(1, (request, connection) -> connection.send(ScriptedEndpoint.ok(request, "whole")));
         edge.call("/file/x", "a1");
         assertEquals(
                 List.of(DecisionKind.ADMITTED, DecisionKind.DISPATCHED, DecisionKind.ANSWERED),
@@ -54,7 +38,7 @@
 
     @Test
     void refusedRequestRecordsEndpointsThatRefusedIt() throws IOException {
-        serve(2, (request, connection) -> connection.send(ScriptedEndpoint.notExecuted()));
+        edge.serve(2, (request, connection) -> connection.send(ScriptedEndpoint.notExecuted()));
         edge.call("/file/x", "a1");
         Decision refused = last("a1", DecisionKind.REFUSED);
         assertTrue(refused.failure());
@@ -66,7 +50,7 @@
 
     @Test
     void requestWithConnectionFailureRecordsEndpointAndThatItMayHaveRun() throws IOException {
-        serve(1, (request, connection) -> connection.reset());
+        edge.serve(1, (request, connection) -> connection.reset());
         edge.call("/file/x", "a1");
         Decision failed = last("a1", DecisionKind.FAILED);
         assertEquals(502, failed.fields().get(DecisionField.STATUS));
