Log why a configuration reaches an entry instance late

Change: update-held says how long changes waited for the acknowledgement of earlier ones, from half a second on; update-missed says that an entry instance lacks what the changes build on. No decision is changed.

--- a/src/main/java/org/bulrushwheel/logic/fleet/Subscriber.java
+++ b/src/main/java/org/bulrushwheel/logic/fleet/Subscriber.java
@@ -23,6 +23,7 @@
     private long sentConnection;
     private long resendAtMillis;
     private int lostUpdates;
+    private long heldSinceMillis = Long.MAX_VALUE;
     private long deadlineMillis;
 
     /** Creates a subscriber that has not reported yet. */
@@ -50,11 +51,24 @@
      */
     public void onChangesSent(long newRevision, long connection, long nowMillis) {
         lostUpdates = awaitsAcknowledgement() ? Math.min(lostUpdates + 1, MAX_RESEND_DOUBLINGS) : 0;
+        heldSinceMillis = Long.MAX_VALUE;
         sentRevision = newRevision;
         sentConnection = connection;
         resendAtMillis = nowMillis + (FIRST_RESEND_MILLIS << lostUpdates);
     }
 
+    /** Records that changes up to a revision are there; those that may not be sent yet are held from now on. */
+    public void onChanges(long fleetRevision, long nowMillis) {
+        if (fleetRevision > Math.max(revision, sentRevision)) {
+            heldSinceMillis = Math.min(heldSinceMillis, nowMillis);
+        }
+    }
+
+    /** Returns for how long the oldest of the changes that were not sent yet has been held, in milliseconds. */
+    public long heldMillis(long nowMillis) {
+        return Math.max(0, nowMillis - heldSinceMillis);
+    }
+
     /** Whether changes were sent that the instance has not acknowledged. */
     public boolean awaitsAcknowledgement() {
         return sentRevision > revision;
--- a/src/main/java/org/bulrushwheel/model/decision/DecisionField.java
+++ b/src/main/java/org/bulrushwheel/model/decision/DecisionField.java
@@ -35,6 +35,7 @@
     DEPENDENCY("dependency", "dependency that was lost or regained"),
     SILENT_MILLIS("silentMillis", "time since the last confirmation by the dependency"),
     STALLED_MILLIS("stalledMillis", "how long the process or its disk did not respond"),
+    WAITED_MILLIS("waitedMillis", "how long the oldest of the changes waited"),
     PEER("peer", "peer address of the other instance"),
     ROLE("role", "role of the control replica"),
     TERM("term", "term of the replicated log"),
--- a/src/main/java/org/bulrushwheel/model/decision/DecisionKind.java
+++ b/src/main/java/org/bulrushwheel/model/decision/DecisionKind.java
@@ -21,6 +21,8 @@
     ENDPOINT_SILENT("endpoint-silent", "an endpoint's announcements have stopped"),
     VIEW_CHANGED("view-changed", "an entry instance has a newer view of the fleet"),
     UPDATE_REPEATED("update-repeated", "changes were sent again to an entry instance that did not acknowledge them"),
+    UPDATE_HELD("update-held", "changes waited for the acknowledgement of earlier ones before they were sent"),
+    UPDATE_MISSED("update-missed", "an entry instance could not apply changes, since it lacks what they build on"),
     CONFIGURATION_IN_FORCE("configuration-in-force", "an entry instance applies a configuration"),
     ENDPOINT_JUDGED("endpoint-judged", "an entry instance temporarily avoids an endpoint"),
     ADMITTED("admitted", "a request was read and has a route"),
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
@@ -38,6 +38,7 @@
     public static final String NAME = "fleet-publisher";
 
     private static final long SUMMARY_INTERVAL_MILLIS = 500;
+    private static final long MIN_RECORDED_HOLD_MILLIS = 500;
 
     private final ReplicaPlaces replicaPlaces;
     private final ControlService control;
@@ -130,6 +131,7 @@
         subscribersBehind = (int) subscribers.values().stream()
                 .filter(Subscriber::awaitsAcknowledgement)
                 .count();
+        subscribers.values().forEach(subscriber -> subscriber.onChanges(fleet.revision(), nowMillis));
         subscribers.values().stream()
                 .filter(subscriber -> mayReceiveChanges(subscriber, fleet, nowMillis))
                 .forEach(subscriber -> sendChanges(subscriber, fleet, nowMillis));
@@ -161,6 +163,13 @@
                     .with(DecisionField.PEER, subscriber.peer())
                     .with(DecisionField.VIEW_REVISION, subscriber.revision()));
         }
+        if (subscriber.heldMillis(nowMillis) >= MIN_RECORDED_HOLD_MILLIS) {
+            decisions.record(Decision.of(DecisionKind.UPDATE_HELD)
+                    .with(DecisionField.PEER, subscriber.peer())
+                    .with(DecisionField.VIEW_REVISION, fleet.revision())
+                    .with(DecisionField.CONFIGURATION_VERSION, fleet.traffic().getVersion())
+                    .with(DecisionField.WAITED_MILLIS, subscriber.heldMillis(nowMillis)));
+        }
         send(subscriber, update);
         long connection = peers.connection(subscriber.peer());
         if (connection != PeerNetwork.NO_CONNECTION) {
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetSubscription.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetSubscription.java
@@ -242,6 +242,9 @@
                 .setEntryInstances((int) Math.round(entryInstanceEstimate))
                 .build();
         FleetView next = view.withUpdate(smoothed, codec, regionsByZone, nowMillis);
+        if (update.getRevision() > next.revision()) {
+            recordMissed(sender, update);
+        }
         if (next == view) {
             return;
         }
@@ -276,6 +279,14 @@
         }
     }
 
+    private void recordMissed(String sender, FleetUpdate update) {
+        metrics.counter("fleet.updates.missed").inc();
+        decisions.record(Decision.of(DecisionKind.UPDATE_MISSED)
+                .with(DecisionField.PEER, sender)
+                .with(DecisionField.VIEW_REVISION, update.getRevision())
+                .with(DecisionField.CONFIGURATION_VERSION, update.getTraffic().getVersion()));
+    }
+
     private void recordChange(FleetView next) {
         if (next.trafficVersion() != view.trafficVersion()) {
             decisions.record(Decision.of(DecisionKind.CONFIGURATION_IN_FORCE)
