Send a configuration without waiting for the acknowledgement of earlier changes

Cause: a control instance had at most one update on its way to an entry instance. Besides, an instance that could not apply changes, because they built on another revision or document, said nothing, and got them again after the same times; and the control instance looked for changes to send only on a hello or a change.

An instance reports changes that it misses (FleetHello.missed), and gets them at once. A timer sends what was held.

FleetSubscriptionTest.changesThatBuildOnAnotherStateAreReportedAsMissed (new) passes; before, there was no such report.

--- a/src/main/java/org/bulrushwheel/logic/decision/RequestAccount.java
+++ b/src/main/java/org/bulrushwheel/logic/decision/RequestAccount.java
@@ -30,6 +30,7 @@
     private static final Set<String> INSTANCE_KINDS = Set.of(
             DecisionKind.VIEW_CHANGED.key(),
             DecisionKind.CONFIGURATION_IN_FORCE.key(),
+            DecisionKind.UPDATE_MISSED.key(),
             DecisionKind.DEPENDENCY_LOST.key(),
             DecisionKind.DEPENDENCY_REGAINED.key(),
             DecisionKind.STALLED.key(),
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
@@ -30,14 +31,16 @@
  * Sends changes of the fleet state to the subscribed entry instances, and sends other control instances a summary of
  * the entry instances that report to this one.
  *
- * <p>Invariants: only committed state is sent; a subscriber has at most one update with changes on its way, and later
- * changes are coalesced into the next. Thread safe: subscribers are accessed on the control thread.
+ * <p>Invariants: only committed state is sent; changes that follow one another closely are sent as one update. Thread
+ * safe: subscribers are accessed on the control thread.
  */
 public final class FleetPublisher implements KernelService {
     /** Name of the service in the kernel. */
     public static final String NAME = "fleet-publisher";
 
     private static final long SUMMARY_INTERVAL_MILLIS = 500;
+    // Changes that were held, or have to be repeated, wait for no further event.
+    private static final long SEND_INTERVAL_MILLIS = 100;
     private static final long MIN_RECORDED_HOLD_MILLIS = 500;
 
     private final ReplicaPlaces replicaPlaces;
@@ -85,6 +88,7 @@
     @Override
     public void start() {
         timer.every(SUMMARY_INTERVAL_MILLIS, this::sendSummary);
+        timer.every(SEND_INTERVAL_MILLIS, () -> control.execute(state -> sendHeldChanges(state.fleet())));
     }
 
     @Override
@@ -111,10 +115,8 @@
             // Before the first update, so that an instance knows them before it is ready.
             poisonRelay.sendSuspects(subscriber.peer());
         }
-        boolean hasChanges = mayReceiveChanges(subscriber, fleet, nowMillis);
-        if (hasChanges) {
-            sendChanges(subscriber, fleet, nowMillis);
-        } else if (!hello.getAcknowledgement()) {
+        boolean hasChanges = sendChanges(subscriber, fleet, nowMillis);
+        if (!hasChanges && !hello.getAcknowledgement()) {
             send(
                     subscriber,
                     FleetUpdate.newBuilder()
@@ -131,14 +133,17 @@
         subscribersBehind = (int) subscribers.values().stream()
                 .filter(Subscriber::awaitsAcknowledgement)
                 .count();
-        subscribers.values().forEach(subscriber -> subscriber.onChanges(fleet.revision(), nowMillis));
-        subscribers.values().stream()
-                .filter(subscriber -> mayReceiveChanges(subscriber, fleet, nowMillis))
-                .forEach(subscriber -> sendChanges(subscriber, fleet, nowMillis));
+        for (Subscriber subscriber : subscribers.values()) {
+            subscriber.onChanges(fleet.revision(), nowMillis);
+            sendChanges(subscriber, fleet, nowMillis);
+        }
     }
 
-    private boolean mayReceiveChanges(Subscriber subscriber, FleetState fleet, long nowMillis) {
-        return subscriber.mayReceiveChanges(fleet.revision(), peers.connection(subscriber.peer()), nowMillis);
+    private void sendHeldChanges(FleetState fleet) {
+        long nowMillis = time.monotonicMillis();
+        subscribers.values().stream()
+                .filter(subscriber -> peers.connection(subscriber.peer()) != PeerNetwork.NO_CONNECTION)
+                .forEach(subscriber -> sendChanges(subscriber, fleet, nowMillis));
     }
 
     private void recordEvacuations(FleetState fleet) {
@@ -153,12 +158,24 @@
         }
     }
 
-    private void sendChanges(Subscriber subscriber, FleetState fleet, long nowMillis) {
-        FleetUpdate.Builder update = fleet.changesSince(subscriber.revision()).toBuilder();
-        if (update.getHasTraffic()) {
-            update.setTraffic(trafficHistory.encode(update.getTraffic(), subscriber.trafficVersion()));
+    /** Sends the changes that are due to a subscriber; returns whether there were any. */
+    private boolean sendChanges(Subscriber subscriber, FleetState fleet, long nowMillis) {
+        long connection = peers.connection(subscriber.peer());
+        Optional<FleetUpdate.Builder> update = subscriber.nextChanges(fleet, trafficHistory, connection, nowMillis);
+        if (update.isEmpty()) {
+            return false;
         }
-        if (subscriber.awaitsAcknowledgement()) {
+        recordLate(subscriber, fleet, connection, nowMillis);
+        send(subscriber, update.get());
+        long sentConnection = peers.connection(subscriber.peer());
+        if (sentConnection != PeerNetwork.NO_CONNECTION) {
+            subscriber.onChangesSent(fleet.revision(), fleet.traffic().getVersion(), sentConnection, nowMillis);
+        }
+        return true;
+    }
+
+    private void recordLate(Subscriber subscriber, FleetState fleet, long connection, long nowMillis) {
+        if (subscriber.repeats(fleet.revision(), connection, nowMillis)) {
             decisions.record(Decision.of(DecisionKind.UPDATE_REPEATED)
                     .with(DecisionField.PEER, subscriber.peer())
                     .with(DecisionField.VIEW_REVISION, subscriber.revision()));
@@ -170,11 +187,6 @@
                     .with(DecisionField.CONFIGURATION_VERSION, fleet.traffic().getVersion())
                     .with(DecisionField.WAITED_MILLIS, subscriber.heldMillis(nowMillis)));
         }
-        send(subscriber, update);
-        long connection = peers.connection(subscriber.peer());
-        if (connection != PeerNetwork.NO_CONNECTION) {
-            subscriber.onChangesSent(fleet.revision(), connection, nowMillis);
-        }
     }
 
     private void send(Subscriber subscriber, FleetUpdate.Builder update) {
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetSubscription.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetSubscription.java
@@ -172,7 +172,7 @@
     @Override
     public void drain(long deadlineNanos) {
         leaving = true;
-        loop.execute(() -> sendHello(false));
+        loop.execute(() -> sendHello(FleetHello.newBuilder()));
     }
 
     @Override
@@ -187,7 +187,7 @@
             boolean silent = search.isLost();
             onSourceChanged(previous, silent ? "silent" : "nearer", silent);
         }
-        sendHello(false);
+        sendHello(FleetHello.newBuilder());
     }
 
     private List<String> candidates() {
@@ -215,7 +215,7 @@
         }
     }
 
-    private void sendHello(boolean acknowledgement) {
+    private void sendHello(FleetHello.Builder hello) {
         if (search.source().isEmpty()) {
             return;
         }
@@ -224,11 +224,9 @@
         peers.send(
                 search.source(),
                 Frame.newBuilder()
-                        .setFleetHello(FleetHello.newBuilder()
-                                .setEntry(entry)
+                        .setFleetHello(hello.setEntry(entry)
                                 .setHaveRevision(view.revision())
-                                .setHaveTrafficVersion(view.trafficVersion())
-                                .setAcknowledgement(acknowledgement)));
+                                .setHaveTrafficVersion(view.trafficVersion())));
     }
 
     private void onUpdate(String sender, FleetUpdate update) {
@@ -243,7 +241,7 @@
                 .build();
         FleetView next = view.withUpdate(smoothed, codec, regionsByZone, nowMillis);
         if (update.getRevision() > next.revision()) {
-            recordMissed(sender, update);
+            onMissed(sender, update);
         }
         if (next == view) {
             return;
@@ -254,7 +252,7 @@
         ready = next.traffic().isPresent();
         listeners.forEach(listener -> listener.accept(next));
         if (isNewRevision && sender.equals(search.source())) {
-            sendHello(true);
+            sendHello(FleetHello.newBuilder().setAcknowledgement(true));
         }
     }
 
@@ -262,7 +260,7 @@
         if (!update.getCurrent()) {
             if (sender.equals(search.source()) && search.onNotCurrent(candidates(), nowMillis)) {
                 onSourceChanged(sender, "not current", true);
-                sendHello(false);
+                sendHello(FleetHello.newBuilder());
             }
             return;
         }
@@ -279,12 +277,15 @@
         }
     }
 
-    private void recordMissed(String sender, FleetUpdate update) {
+    private void onMissed(String sender, FleetUpdate update) {
         metrics.counter("fleet.updates.missed").inc();
         decisions.record(Decision.of(DecisionKind.UPDATE_MISSED)
                 .with(DecisionField.PEER, sender)
                 .with(DecisionField.VIEW_REVISION, update.getRevision())
                 .with(DecisionField.CONFIGURATION_VERSION, update.getTraffic().getVersion()));
+        if (sender.equals(search.source())) {
+            sendHello(FleetHello.newBuilder().setMissed(true));
+        }
     }
 
     private void recordChange(FleetView next) {
--- a/src/test/java/org/bulrushwheel/server/fleet/FleetSubscriptionTest.java
+++ b/src/test/java/org/bulrushwheel/server/fleet/FleetSubscriptionTest.java
@@ -3,29 +3,39 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import org.bulrushwheel.client.LoopbackPorts;
+import org.bulrushwheel.logic.fleet.DocumentDeltas;
 import org.bulrushwheel.logic.fleet.JsonTrafficCodec;
 import org.bulrushwheel.logic.time.SystemTimeSource;
 import org.bulrushwheel.model.decision.DecisionSink;
 import org.bulrushwheel.model.instance.Address;
 import org.bulrushwheel.model.proto.EntryRecord;
+import org.bulrushwheel.model.proto.FleetHello;
 import org.bulrushwheel.model.proto.FleetUpdate;
 import org.bulrushwheel.model.proto.Frame;
 import org.bulrushwheel.model.proto.ReplicaPlace;
+import org.bulrushwheel.model.proto.TrafficDocument;
 import org.bulrushwheel.wire.PeerNetwork;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Runs one entry instance of zone a1 and nine control instances, one in each zone of three regions. */
@@ -46,6 +56,7 @@
     private final List<PeerNetwork> networks = new ArrayList<>();
     private final Set<String> cutOff = ConcurrentHashMap.newKeySet();
     private final FleetSubscription subscription;
+    private final BlockingQueue<FleetHello> missedReports = new LinkedBlockingQueue<>();
     private volatile long answerDelayMillis;
 
     FleetSubscriptionTest() {
@@ -54,6 +65,10 @@
             PeerNetwork network = network(names.get(control), controlLoops);
             String zone = ZONES.get(control);
             network.handle(Frame.BodyCase.FLEET_HELLO, (frame, reply) -> {
+                if (frame.getFleetHello().getMissed()) {
+                    missedReports.add(frame.getFleetHello());
+                    return;
+                }
                 boolean isCutOff = cutOff.contains(zone);
                 boolean isChanged = !cutOff.isEmpty() && !isCutOff;
                 FleetUpdate.Builder update = FleetUpdate.newBuilder()
@@ -124,6 +139,29 @@
                 arrived, "the view is that of before the cut, after " + (time.monotonicMillis() - cutMillis) + " ms");
     }
 
+    // Guards against a configuration that is late by the time after which unacknowledged changes are sent again, up to
+    // 4 s:
+    // the instance could not apply them, since they build on a state that it doesn't have, and did not say so.
+    @ParameterizedTest
+    @CsvSource({"5, 0", "1, 3"})
+    void changesThatBuildOnAnotherStateAreReportedAsMissed(long fromRevision, long baseVersion) throws Exception {
+        assertTrue(hasRevision(1, time.monotonicMillis() + 20_000), "no view");
+        FleetUpdate.Builder update =
+                FleetUpdate.newBuilder().setFromRevision(fromRevision).setRevision(9);
+        if (baseVersion > 0) {
+            ByteString document = ByteString.copyFromUtf8("document");
+            update.setHasTraffic(true)
+                    .setTraffic(TrafficDocument.newBuilder()
+                            .setVersion(baseVersion + 1)
+                            .setDelta(DocumentDeltas.between(baseVersion, document, document)));
+        }
+        // The control instance of zone a1 is the nearest, so it is the source.
+        networks.get(0).send(names.get(ZONES.size()), Frame.newBuilder().setFleetUpdate(update));
+        FleetHello report = missedReports.poll(CONTACT_WINDOW_MILLIS, TimeUnit.MILLISECONDS);
+        assertEquals(1, Objects.requireNonNull(report, "not reported").getHaveRevision());
+        assertEquals(1, subscription.view().revision());
+    }
+
     // Guards against an entry instance on a full link that never hears of a control instance before it has left it.
     @Test
     void viewIsConfirmedWhileEveryAnswerTakesLongerThanASecond() throws InterruptedException {
