--- a/src/main/java/org/bulrushwheel/daemon/EdgeDaemon.java
+++ b/src/main/java/org/bulrushwheel/daemon/EdgeDaemon.java
@@ -69,6 +69,7 @@
                 metrics,
                 decisions));
         edge.setViewAge(subscription::viewAgeMillis);
+        edge.setArrivalDelay(subscription::arrivalDelayMillis);
         subscription.onView(edge::updateView);
         subscription.setPoisonListener(edge::mergePoison);
         edge.setPoisonListener(subscription::publishPoisonRecord);
--- a/src/main/java/org/bulrushwheel/model/decision/DecisionField.java
+++ b/src/main/java/org/bulrushwheel/model/decision/DecisionField.java
@@ -23,6 +23,7 @@
     ATTEMPTS("attempts", "endpoints that the request was sent to, each with its outcome and time"),
     MAY_HAVE_RUN("mayHaveRun", "whether an endpoint may have run the request"),
     REMAINING_MILLIS("remainingMillis", "time left until the request's deadline"),
+    ARRIVAL_DELAY_MILLIS("arrivalDelayMillis", "estimated time that the request waited in the instance's link"),
     TOOK_MILLIS("tookMillis", "time since the request was read"),
     IN_FLIGHT("inFlight", "requests of this instance in flight at the endpoint, including this one"),
     LOAD("load", "estimated requests at the endpoint, including those of other instances"),
--- a/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
+++ b/src/main/java/org/bulrushwheel/server/edge/CallerConnection.java
@@ -279,7 +279,7 @@
     private void onFullRequest(ArrivingRequest request) {
         arriving = null;
         PipelinedRequest pending = new PipelinedRequest(
-                request.complete(context.nowMillis()),
+                request.complete(context.nowMillis() - context.arrivalDelayMillis()),
                 request.head().protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0);
         pendingRequests.addLast(pending);
         startReadyRequests();
--- a/src/main/java/org/bulrushwheel/server/edge/CallerRequest.java
+++ b/src/main/java/org/bulrushwheel/server/edge/CallerRequest.java
@@ -17,7 +17,8 @@
  * @param headers headers as received
  * @param body complete body
  * @param keepAlive whether the caller keeps the connection open after the response
- * @param receivedMillis monotonic time in milliseconds at which the last byte arrived
+ * @param receivedMillis monotonic time in milliseconds at which the last byte arrived, or would have arrived if it had not
+ *     waited in this instance's link
  */
 record CallerRequest(
         HttpMethod method, String target, HttpHeaders headers, ByteBuf body, boolean keepAlive, long receivedMillis) {
--- a/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeContext.java
@@ -94,6 +94,7 @@
     private long stopDeadlineMillis = Long.MAX_VALUE;
     private boolean loadUpdateScheduled;
     private LongSupplier viewAge = () -> 0;
+    private LongSupplier arrivalDelay = () -> 0;
     private FleetView view = FleetView.empty();
 
     EdgeContext(
@@ -172,6 +173,19 @@
         viewAge = ageMillis;
     }
 
+    /** Sets the supplier of how long what arrives now has waited in the link, in milliseconds. */
+    void setArrivalDelay(LongSupplier delayMillis) {
+        arrivalDelay = delayMillis;
+    }
+
+    /**
+     * Returns how long what arrives now has waited in the link, in milliseconds; 0 while the link is not busy, since
+     * other causes than the link delay the messages that show it as well.
+     */
+    long arrivalDelayMillis() {
+        return link.isBusy(nowMillis()) ? arrivalDelay.getAsLong() : 0;
+    }
+
     long viewAgeMillis() {
         return viewAge.getAsLong();
     }
--- a/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EdgeServer.java
@@ -78,6 +78,14 @@
         context.setViewAge(ageMillis);
     }
 
+    /**
+     * Sets the supplier of how long what arrives now has waited in the link of this instance, in milliseconds; must be
+     * called before the start.
+     */
+    public void setArrivalDelay(LongSupplier delayMillis) {
+        context.setArrivalDelay(delayMillis);
+    }
+
     /**
      * Sets the listener that informs the other instances about requests that were in flight when an endpoint closed the
      * connection.
--- a/src/main/java/org/bulrushwheel/server/edge/RequestTrail.java
+++ b/src/main/java/org/bulrushwheel/server/edge/RequestTrail.java
@@ -40,6 +40,7 @@
                         request.header(context.headerNames().affinityKey()).orElse(""))
                 .with(DecisionField.SERVICE, service)
                 .with(DecisionField.REMAINING_MILLIS, deadlineMillis - context.nowMillis())
+                .with(DecisionField.ARRIVAL_DELAY_MILLIS, context.arrivalDelayMillis())
                 .with(DecisionField.CONFIGURATION_VERSION, context.view().trafficVersion())
                 .with(DecisionField.VIEW_REVISION, context.view().revision())
                 .with(DecisionField.VIEW_AGE_MILLIS, context.viewAgeMillis()));
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetPublisher.java
@@ -192,7 +192,8 @@
     private void send(Subscriber subscriber, FleetUpdate.Builder update) {
         ReplicaStatus status = control.status();
         update.setCurrent(status.isUpToDate(time.monotonicMillis()))
-                .setEntryInstances(directory.serving().size());
+                .setEntryInstances(directory.serving().size())
+                .setSentMillis(time.monotonicMillis());
         status.voters()
                 .forEach(voter -> update.addReplicas(
                         replicaPlaces.of(ReplicaId.parse(voter).instance())));
--- a/src/main/java/org/bulrushwheel/server/fleet/FleetSubscription.java
+++ b/src/main/java/org/bulrushwheel/server/fleet/FleetSubscription.java
@@ -10,6 +10,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import org.bulrushwheel.kernel.KernelService;
+import org.bulrushwheel.logic.budget.ArrivalDelay;
 import org.bulrushwheel.logic.fleet.FleetView;
 import org.bulrushwheel.logic.fleet.SourceChoice;
 import org.bulrushwheel.logic.fleet.SourceSearch;
@@ -60,6 +61,7 @@
     private volatile FleetView view = FleetView.empty();
     private final SourceSearch search;
     private volatile long lastConfirmedMillis;
+    private final ArrivalDelay arrivalDelay = new ArrivalDelay(HELLO_INTERVAL_MILLIS);
     private double entryInstanceEstimate = 1;
     private volatile boolean leaving;
     private volatile boolean ready;
@@ -164,6 +166,14 @@
         return time.monotonicMillis() - lastConfirmedMillis;
     }
 
+    /**
+     * Returns how long what arrives at this instance now has waited in its link, as far as the updates of its control
+     * instance show it, in milliseconds. Must be called on the event loop.
+     */
+    public long arrivalDelayMillis() {
+        return arrivalDelay.millis(time.monotonicMillis());
+    }
+
     @Override
     public void start() {
         loop.scheduleWithFixedDelay(this::tick, 0, HELLO_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -234,6 +244,9 @@
         if (update.getCurrent() && update.getReplicasCount() > 0) {
             replicas = update.getReplicasList();
         }
+        if (sender.equals(search.source())) {
+            arrivalDelay.onMessage(sender, update.getSentMillis(), nowMillis);
+        }
         onSourceState(sender, update, nowMillis);
         entryInstanceEstimate = Math.max(update.getEntryInstances(), entryInstanceEstimate * (1 - ENTRY_COUNT_DECAY));
         FleetUpdate smoothed = update.toBuilder()
--- a/src/test/java/org/bulrushwheel/server/edge/EdgeFixture.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeFixture.java
@@ -75,6 +75,10 @@
     }
 
     EdgeFixture(EdgeHeaders headers, long maxHeldBytes, TimeSource time) {
+        this(headers, maxHeldBytes, time, 0);
+    }
+
+    EdgeFixture(EdgeHeaders headers, long maxHeldBytes, TimeSource time, double linkBytesPerSecond) {
         server = new EdgeServer(
                 new EdgeSettings(
                         address,
@@ -82,7 +86,7 @@
                         10_000,
                         0.2,
                         100,
-                        0,
+                        linkBytesPerSecond,
                         maxHeldBytes),
                 headers,
                 loop,
@@ -127,6 +131,11 @@
         return server;
     }
 
+    /** Sets how long requests that arrive from now on have waited in the link, and what this is known from. */
+    void setArrivalDelay(long delayMillis) {
+        loop.submit(() -> server.setArrivalDelay(() -> delayMillis)).syncUninterruptibly();
+    }
+
     /** Applies the configuration {@link #TRAFFIC} and these endpoints. */
     void configure(List<EndpointRecord> endpoints) {
         update(traffic(1, TRAFFIC).addAllEndpoints(endpoints));
