Start the estimate of the wait in the link anew when its sender's clock does

Seen by reading: after the machine of a control instance was started again, or was suspended, its monotonic clock stands seconds behind what the estimate expects, and each request that is read while the link is busy would lose up to a second for 15 to 30 s.

Cause: the fastest message of two windows of 15 s was the measure, whatever the clock did. Change: a difference that no link explains (5 s) starts the estimate anew, as another sender does, and the windows have 5 s. An entry instance leaves a control instance that was silent for a second anyway, and then starts anew too.

Measured (x86_64): ArrivalDelayTest.senderWhoseClockStartsAnewStartsAnew, LocalFleetTest, RequestDelayedInTheLinkTest and FleetSubscriptionTest pass.

--- a/src/main/java/org/bulrushwheel/logic/budget/ArrivalDelay.java
+++ b/src/main/java/org/bulrushwheel/logic/budget/ArrivalDelay.java
@@ -9,7 +9,10 @@
  * thread safe.
  */
 public final class ArrivalDelay {
-    private static final long WINDOW_MILLIS = 15_000;
+    // Many intervals long; a change of the path, or a sender that was suspended, distorts the estimate for two windows.
+    private static final long WINDOW_MILLIS = 5_000;
+    // No link holds up bytes for so long; the sender's clock has started anew.
+    private static final long CLOCK_JUMP_MILLIS = 5_000;
     // A sender that stood still looks like a link that is full.
     private static final long MAX_DELAY_MILLIS = 1_000;
 
@@ -38,7 +41,8 @@
      */
     public void onMessage(String from, long sentMillis, long nowMillis) {
         long transitMillis = nowMillis - sentMillis;
-        if (!from.equals(sender)) {
+        boolean clockJumped = transitMillis - Math.min(currentMinMillis, previousMinMillis) > CLOCK_JUMP_MILLIS;
+        if (!from.equals(sender) || clockJumped) {
             sender = from;
             windowEndMillis = Long.MIN_VALUE;
         }
--- a/src/test/java/org/bulrushwheel/logic/budget/ArrivalDelayTest.java
+++ b/src/test/java/org/bulrushwheel/logic/budget/ArrivalDelayTest.java
@@ -47,6 +47,16 @@
         assertEquals(0, delay.millis(60_000));
     }
 
+    // Guards against requests ended early for seconds after the machine of the sender was started again.
+    @ParameterizedTest
+    @CsvSource({"-1000000, 0", "-6000, 0", "6000, 0", "-400, 400"})
+    void senderWhoseClockStartsAnewStartsAnew(long jumpMillis, long expectedMillis) {
+        onMessage("a", 0, 0);
+        long nowMillis = INTERVAL_MILLIS + TRANSIT_MILLIS;
+        delay.onMessage("a", INTERVAL_MILLIS + SKEW_MILLIS + jumpMillis, nowMillis);
+        assertEquals(expectedMillis, delay.millis(nowMillis));
+    }
+
     @Test
     void anotherSenderStartsAnew() {
         onMessage("a", 0, 0);
--- a/src/test/java/org/bulrushwheel/server/fleet/LocalFleetTest.java
+++ b/src/test/java/org/bulrushwheel/server/fleet/LocalFleetTest.java
@@ -93,6 +93,8 @@
             int asked = control;
             eventually("no read was answered", () -> read(asked).status() == 200);
             assertEquals(newest, read(control).text());
+            // Its operator may not have seen the acknowledgement.
+            assertEquals(200, put(control, DefaultInterfaces.TRAFFIC, newest).status());
         }
         eventually(
                 "an entry instance is not ready",
