Count no wait in the link while an instance is cut off from control

Seen by reading: an instance that hears no control instance any more took the overdue message for one that waits in the link, without end, so each request that it read while its link was busy lost a second of its time, also in a zone that serves on while cut off.

Cause: the time that a message is overdue had no bound but that of the estimate. Change: after 5 s, longer than a link holds up bytes, nothing is counted.

Measured (x86_64): ArrivalDelayTest.senderThatIsCutOffDelaysNothing, before 1,000 ms, after 0.

--- a/src/main/java/org/bulrushwheel/logic/budget/ArrivalDelay.java
+++ b/src/main/java/org/bulrushwheel/logic/budget/ArrivalDelay.java
@@ -11,8 +11,8 @@
 public final class ArrivalDelay {
     // Many intervals long; a change of the path, or a sender that was suspended, distorts the estimate for two windows.
     private static final long WINDOW_MILLIS = 5_000;
-    // No link holds up bytes for so long; the sender's clock has started anew.
-    private static final long CLOCK_JUMP_MILLIS = 5_000;
+    // No link holds up bytes for longer: the sender's clock has started anew, or nothing comes from it any more.
+    private static final long MAX_TRANSIT_MILLIS = 5_000;
     // A sender that stood still looks like a link that is full.
     private static final long MAX_DELAY_MILLIS = 1_000;
 
@@ -41,7 +41,7 @@
      */
     public void onMessage(String from, long sentMillis, long nowMillis) {
         long transitMillis = nowMillis - sentMillis;
-        boolean clockJumped = transitMillis - Math.min(currentMinMillis, previousMinMillis) > CLOCK_JUMP_MILLIS;
+        boolean clockJumped = transitMillis - Math.min(currentMinMillis, previousMinMillis) > MAX_TRANSIT_MILLIS;
         if (!from.equals(sender) || clockJumped) {
             sender = from;
             windowEndMillis = Long.MIN_VALUE;
@@ -59,10 +59,11 @@
 
     /** Returns how long what arrives now has waited, in milliseconds. */
     public long millis(long nowMillis) {
-        if (sender.isEmpty()) {
+        long silentMillis = nowMillis - arrivedMillis;
+        if (sender.isEmpty() || silentMillis > MAX_TRANSIT_MILLIS) {
             return 0;
         }
-        long overdueMillis = nowMillis - arrivedMillis - intervalMillis;
+        long overdueMillis = silentMillis - intervalMillis;
         return Math.min(MAX_DELAY_MILLIS, Math.max(lastDelayMillis, Math.max(0, overdueMillis)));
     }
 }
--- a/src/test/java/org/bulrushwheel/logic/budget/ArrivalDelayTest.java
+++ b/src/test/java/org/bulrushwheel/logic/budget/ArrivalDelayTest.java
@@ -57,6 +57,14 @@
         assertEquals(expectedMillis, delay.millis(nowMillis));
     }
 
+    // Guards against requests ended early as long as an instance is cut off from control.
+    @Test
+    void senderThatIsCutOffDelaysNothing() {
+        onMessage("a", 0, 0);
+        onMessage("a", INTERVAL_MILLIS, 700);
+        assertEquals(0, delay.millis(7_000));
+    }
+
     @Test
     void anotherSenderStartsAnew() {
         onMessage("a", 0, 0);
