--- /dev/null
+++ b/src/main/java/org/bulrushwheel/logic/response/HeadSyntax.java
@@ -0,0 +1,145 @@
+package org.bulrushwheel.logic.response;
+
+import java.util.Optional;
+
+/**
+ * Checks the status lines of response heads against the grammar of HTTP/1.1 (RFC 9112, section 4), of which decoders accept
+ * more.
+ *
+ * <p>Invariants: the result does not depend on how the bytes are divided among calls; an informational head is followed by
+ * another one. Lines may end without a carriage return, and the reason phrase may be missing together with the blank before
+ * it. Not thread safe: confined to the reader of one connection.
+ */
+public final class HeadSyntax {
+    /** A part of a head that can be malformed. */
+    public enum Part {
+        STATUS_LINE("status line");
+
+        private final String text;
+
+        Part(String text) {
+            this.text = text;
+        }
+
+        @Override
+        public String toString() {
+            return text;
+        }
+    }
+
+    private enum State {
+        STATUS,
+        TEXT,
+        LINE_START,
+        FIELD,
+        LINE_END,
+        HEAD_END,
+        COMPLETE,
+        MALFORMED
+    }
+
+    private static final String STATUS_PREFIX = "HTTP/1.";
+    private static final int MINOR_VERSION_INDEX = STATUS_PREFIX.length();
+    private static final int STATUS_CLASS_INDEX = MINOR_VERSION_INDEX + 2;
+    private static final int STATUS_END_INDEX = STATUS_CLASS_INDEX + 3;
+    private static final int DELETE = 0x7f;
+
+    private State state = State.STATUS;
+    private int lineIndex;
+    private boolean informational;
+
+    /** Expects the head of a response next. */
+    public void begin() {
+        state = State.STATUS;
+        lineIndex = 0;
+        informational = false;
+    }
+
+    /** Checks the next byte; bytes behind a head are ignored until the next one begins. */
+    public void accept(byte next) {
+        int octet = next & 0xff;
+        switch (state) {
+            case STATUS -> onStatus(octet);
+            case TEXT -> onText(octet);
+            case LINE_START -> onLineStart(octet);
+            case FIELD -> state = octet == '\n' ? State.LINE_START : State.FIELD;
+            case LINE_END -> state = octet == '\n' ? State.LINE_START : State.MALFORMED;
+            case HEAD_END -> state = octet == '\n' ? afterHead() : State.FIELD;
+            default -> {
+                // Nothing to check until the next head begins.
+            }
+        }
+    }
+
+    /** Whether a head has been read, or is malformed, so that the bytes up to the next head need no check. */
+    public boolean isDecided() {
+        return state == State.COMPLETE || state == State.MALFORMED;
+    }
+
+    /** Returns the part of the head that is malformed; empty if none was so far. */
+    public Optional<Part> malformedPart() {
+        return state == State.MALFORMED ? Optional.of(Part.STATUS_LINE) : Optional.empty();
+    }
+
+    private void onStatus(int octet) {
+        if (lineIndex < STATUS_END_INDEX) {
+            if (!isExpectedInStatus(octet)) {
+                state = State.MALFORMED;
+            }
+            informational = informational || (lineIndex == STATUS_CLASS_INDEX && octet == '1');
+            lineIndex++;
+            return;
+        }
+        state = switch (octet) {
+            case ' ' -> State.TEXT;
+            case '\r' -> State.LINE_END;
+            case '\n' -> State.LINE_START;
+            default -> State.MALFORMED;
+        };
+    }
+
+    private boolean isExpectedInStatus(int octet) {
+        if (lineIndex < MINOR_VERSION_INDEX) {
+            return octet == STATUS_PREFIX.charAt(lineIndex);
+        }
+        if (lineIndex == MINOR_VERSION_INDEX) {
+            return octet == '0' || octet == '1';
+        }
+        if (lineIndex < STATUS_CLASS_INDEX) {
+            return octet == ' ';
+        }
+        return lineIndex == STATUS_CLASS_INDEX ? octet >= '1' && octet <= '5' : isDigit(octet);
+    }
+
+    private void onText(int octet) {
+        if (octet == '\r') {
+            state = State.LINE_END;
+        } else if (octet == '\n') {
+            state = State.LINE_START;
+        } else if ((octet < ' ' && octet != '\t') || octet == DELETE) {
+            state = State.MALFORMED;
+        }
+    }
+
+    private void onLineStart(int octet) {
+        if (octet == '\r') {
+            state = State.HEAD_END;
+        } else if (octet == '\n') {
+            state = afterHead();
+        } else {
+            state = State.FIELD;
+        }
+    }
+
+    private State afterHead() {
+        if (!informational) {
+            return State.COMPLETE;
+        }
+        begin();
+        return state;
+    }
+
+    private static boolean isDigit(int octet) {
+        return octet >= '0' && octet <= '9';
+    }
+}
--- /dev/null
+++ b/src/test/java/org/bulrushwheel/logic/response/HeadSyntaxTest.java
@@ -0,0 +1,60 @@
+package org.bulrushwheel.logic.response;
+
+import java.nio.charset.StandardCharsets;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class HeadSyntaxTest {
+    private final HeadSyntax syntax = new HeadSyntax();
+
+    private void accept(String bytes) {
+        for (byte next : bytes.getBytes(StandardCharsets.ISO_8859_1)) {
+            syntax.accept(next);
+        }
+    }
+
+    /** Guards against a malformed head that is taken for a sound one, also behind other responses of its connection. */
+    @ParameterizedTest
+    @EnumSource
+    void malformedHeadIsFound(MalformedHead shape) {
+        String sound = MalformedHead.soundResponse("a1");
+        for (String before : new String[] {"", "HTTP/1.1 100 Continue\r\n\r\n", sound}) {
+            syntax.begin();
+            accept(before);
+            if (before.equals(sound)) {
+                syntax.begin();
+            }
+            accept(shape.in(sound));
+            assertTrue(syntax.malformedPart().isPresent(), "behind " + before);
+        }
+    }
+
+    /** Guards against sound responses that are not passed on. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\n\r\n",
+                "HTTP/1.0 200 OK\r\n\r\n",
+                "HTTP/1.1 200 \r\n\r\n",
+                "HTTP/1.1 200\r\n\r\n",
+                "HTTP/1.1 200 OK\n\n",
+                "HTTP/1.1 200\n\n",
+                "HTTP/1.1 599 Not so good:\t\u00c3\u0085pen\r\n\r\n",
+                "HTTP/1.1 404 Not Found\r\n!#$%&'*+-.^_`|~09AZaz:\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nA: \r\nB:\t a \tb:c \u00e9\u0080\u00ff\r\n\r\n",
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"
+            })
+    void soundHeadIsAccepted(String head) {
+        accept(head.substring(0, head.length() - 1));
+        assertFalse(syntax.isDecided());
+        accept(head.substring(head.length() - 1) + "\u0000body");
+        assertTrue(syntax.isDecided());
+        assertEquals("", syntax.malformedPart().map(Object::toString).orElse(""));
+    }
+}
