Drop responses whose field names or values are not HTTP/1.1

Cause: in responses, unlike in requests, the decoder of entry instances ends a field name at a blank and drops what stands between it and the colon; so the rest of the name is gone before anything can look at it, and "Content-Length x: 3" cut a body of five bytes to three. A line that begins with a blank continues the line before it, so that a length with a blank in front was part of another field and the body had none.

Change: HeadSyntax checks fields as well: a name is a token with its colon right behind it, a value has no control byte but the tab. Folded lines are refused, which RFC 9112 (5.2) allows: they can't be told from a name that begins with a blank.

--- a/src/main/java/org/bulrushwheel/logic/response/HeadSyntax.java
+++ b/src/main/java/org/bulrushwheel/logic/response/HeadSyntax.java
@@ -3,17 +3,20 @@
 import java.util.Optional;
 
 /**
- * Checks the status lines of response heads against the grammar of HTTP/1.1 (RFC 9112, section 4), of which decoders accept
- * more.
+ * Checks the bytes of response heads against the grammar of HTTP/1.1 (RFC 9112, sections 4 and 5), of which decoders accept
+ * more: some cut a field name at a blank, so that neither the name nor the framing that they report is that of the sender.
  *
  * <p>Invariants: the result does not depend on how the bytes are divided among calls; an informational head is followed by
  * another one. Lines may end without a carriage return, and the reason phrase may be missing together with the blank before
- * it. Not thread safe: confined to the reader of one connection.
+ * it. Folded lines are malformed, since they can't be told from a field name that begins with a blank. Not thread safe:
+ * confined to the reader of one connection.
  */
 public final class HeadSyntax {
     /** A part of a head that can be malformed. */
     public enum Part {
-        STATUS_LINE("status line");
+        STATUS_LINE("status line"),
+        FIELD_NAME("field name"),
+        FIELD_VALUE("field value");
 
         private final String text;
 
@@ -31,7 +34,7 @@
         STATUS,
         TEXT,
         LINE_START,
-        FIELD,
+        NAME,
         LINE_END,
         HEAD_END,
         COMPLETE,
@@ -43,14 +46,17 @@
     private static final int STATUS_CLASS_INDEX = MINOR_VERSION_INDEX + 2;
     private static final int STATUS_END_INDEX = STATUS_CLASS_INDEX + 3;
     private static final int DELETE = 0x7f;
+    private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
 
     private State state = State.STATUS;
+    private Part part = Part.STATUS_LINE;
     private int lineIndex;
     private boolean informational;
 
     /** Expects the head of a response next. */
     public void begin() {
         state = State.STATUS;
+        part = Part.STATUS_LINE;
         lineIndex = 0;
         informational = false;
     }
@@ -62,9 +68,9 @@
             case STATUS -> onStatus(octet);
             case TEXT -> onText(octet);
             case LINE_START -> onLineStart(octet);
-            case FIELD -> state = octet == '\n' ? State.LINE_START : State.FIELD;
+            case NAME -> onName(octet);
             case LINE_END -> state = octet == '\n' ? State.LINE_START : State.MALFORMED;
-            case HEAD_END -> state = octet == '\n' ? afterHead() : State.FIELD;
+            case HEAD_END -> state = octet == '\n' ? afterHead() : State.MALFORMED;
             default -> {
                 // Nothing to check until the next head begins.
             }
@@ -78,7 +84,7 @@
 
     /** Returns the part of the head that is malformed; empty if none was so far. */
     public Optional<Part> malformedPart() {
-        return state == State.MALFORMED ? Optional.of(Part.STATUS_LINE) : Optional.empty();
+        return state == State.MALFORMED ? Optional.of(part) : Optional.empty();
     }
 
     private void onStatus(int octet) {
@@ -122,12 +128,22 @@
     }
 
     private void onLineStart(int octet) {
+        part = Part.FIELD_NAME;
         if (octet == '\r') {
             state = State.HEAD_END;
         } else if (octet == '\n') {
             state = afterHead();
         } else {
-            state = State.FIELD;
+            state = isTokenOctet(octet) ? State.NAME : State.MALFORMED;
+        }
+    }
+
+    private void onName(int octet) {
+        if (octet == ':') {
+            part = Part.FIELD_VALUE;
+            state = State.TEXT;
+        } else if (!isTokenOctet(octet)) {
+            state = State.MALFORMED;
         }
     }
 
@@ -142,4 +158,11 @@
     private static boolean isDigit(int octet) {
         return octet >= '0' && octet <= '9';
     }
+
+    private static boolean isTokenOctet(int octet) {
+        return isDigit(octet)
+                || (octet >= 'a' && octet <= 'z')
+                || (octet >= 'A' && octet <= 'Z')
+                || TOKEN_PUNCTUATION.indexOf(octet) >= 0;
+    }
 }
--- a/src/test/java/org/bulrushwheel/logic/response/HeadSyntaxTest.java
+++ b/src/test/java/org/bulrushwheel/logic/response/HeadSyntaxTest.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -35,6 +36,20 @@
         }
     }
 
+    /** Guards against a part that names the wrong place to an operator. */
+    @Test
+    void malformedPartIsNamed() {
+        String sound = MalformedHead.soundResponse("a1");
+        accept(MalformedHead.STATUS_000.in(sound));
+        assertEquals(HeadSyntax.Part.STATUS_LINE, syntax.malformedPart().orElseThrow());
+        syntax.begin();
+        accept(MalformedHead.NAME_WITH_BLANK.in(sound));
+        assertEquals(HeadSyntax.Part.FIELD_NAME, syntax.malformedPart().orElseThrow());
+        syntax.begin();
+        accept(MalformedHead.VALUE_WITH_NUL.in(sound));
+        assertEquals(HeadSyntax.Part.FIELD_VALUE, syntax.malformedPart().orElseThrow());
+    }
+
     /** Guards against sound responses that are not passed on. */
     @ParameterizedTest
     @ValueSource(
