Drop malformed responses at the gateway by the rule of entry instances

Seen by callers: the gateway passed on statuses 600 and 999, took HTTP/3.1 and HTTP/1.7 for 1.1, and joined folded lines, so that a length with a blank in front was lost and its caller got 504, or a broken body. What its client refused ended with 502, with "casedesk/a: null" or the name of a Java exception as the detail and a stack trace at ERROR for each response; it was taken for a crash of the endpoint, so a request that met two of them was refused as one that crashes endpoints. A status below 100 counted as informational.

A malformed one is a dropped response, reason malformed: unknown and 502, or a retry at another endpoint where the request may run again; it says nothing about the request.

--- a/src/main/java/org/bulrushwheel/server/gateway/Attempt.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/Attempt.java
@@ -35,6 +35,11 @@
         this.leasedMillis = leasedMillis;
     }
 
+    /** Whether the attempt got a response that is not HTTP/1.1. */
+    boolean hasMalformedResponse() {
+        return connection.flatMap(each -> each.source().malformedPart()).isPresent();
+    }
+
     /** Finishes the attempt and releases its lease; returns false if it was already finished. */
     boolean finish(AttemptOutcome outcome) {
         return finish(outcome, 0);
--- a/src/main/java/org/bulrushwheel/server/gateway/DropReason.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/DropReason.java
@@ -13,7 +13,9 @@
     /** Its head contains the beginning of a second response. */
     JOINED("joined"),
     /** It is informational, and the client does not read the response that follows it. */
-    INFORMATIONAL("informational");
+    INFORMATIONAL("informational"),
+    /** Its head is not HTTP/1.1. */
+    MALFORMED("malformed");
 
     private final String key;
 
--- a/src/main/java/org/bulrushwheel/server/gateway/GatewayExchange.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/GatewayExchange.java
@@ -327,7 +327,8 @@
         attempt.connection.ifPresent(connection -> services.connections().discard(connection, false));
         earlierAttemptMayHaveRun = true;
         newConnectionsOnly = true;
-        if (!attempt.reusedConnection) {
+        // On a reused connection, other responses may be left over from an earlier request.
+        if (reason == DropReason.MALFORMED || !attempt.reusedConnection) {
             excludeEndpoint(attempt);
         }
         Refusal refusal = Refusal.unknown(
@@ -362,6 +363,10 @@
     }
 
     private void onFailed(Attempt attempt, IOException e) {
+        if (!attempt.finished && attempt.hasMalformedResponse()) {
+            onDropped(attempt, DropReason.MALFORMED);
+            return;
+        }
         if (!attempt.finish(AttemptOutcome.FAILED)) {
             return;
         }
--- a/src/test/java/org/bulrushwheel/server/edge/ScriptedEndpoint.java
+++ b/src/test/java/org/bulrushwheel/server/edge/ScriptedEndpoint.java
@@ -50,7 +50,7 @@
         }
 
         /** Returns whether the other side closes the connection within the given time. */
-        boolean isClosedWithin(int millis) throws IOException {
+        public boolean isClosedWithin(int millis) throws IOException {
             socket.setSoTimeout(millis);
             try {
                 return socket.getInputStream().read() < 0;
--- /dev/null
+++ b/src/test/java/org/bulrushwheel/server/gateway/GatewayMalformedResponseTest.java
@@ -0,0 +1,110 @@
+package org.bulrushwheel.server.gateway;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.bulrushwheel.client.HttpAnswer;
+import org.bulrushwheel.logic.response.MalformedHead;
+import org.bulrushwheel.server.edge.ScriptedEndpoint;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.TestInstance;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Responses with a malformed head on the connections of the gateway. */
+@Timeout(60)
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class GatewayMalformedResponseTest {
+    private static final int CLOSED_WITHIN_MILLIS = 5_000;
+    private static final int SOUND_REQUESTS = 10;
+
+    private final Map<String, AtomicInteger> receivedByLine = new ConcurrentHashMap<>();
+    private final AtomicInteger closed = new AtomicInteger();
+    private GatewayFixture gateway;
+    private ScriptedEndpoint first;
+    private ScriptedEndpoint second;
+
+    @BeforeAll
+    void start() throws IOException {
+        gateway = new GatewayFixture();
+        first = new ScriptedEndpoint(this::answer);
+        second = new ScriptedEndpoint(this::answer);
+        gateway.announce("first", first);
+        gateway.awaitReceived(first, () -> gateway.get("/sound"));
+        gateway.announce("second", second);
+    }
+
+    @AfterAll
+    void stop() throws IOException {
+        first.close();
+        second.close();
+        gateway.close();
+    }
+
+    /** The first request of a path that ends with the name of a shape gets a malformed response. */
+    private void answer(ScriptedEndpoint.Received request, ScriptedEndpoint.Connection connection) throws IOException {
+        String sound = MalformedHead.soundResponse(request.header("Bulrushwheel-Request-Id"));
+        String path = request.line().split(" ")[1];
+        String name = path.substring(path.lastIndexOf('/') + 1);
+        int before = receivedByLine
+                .computeIfAbsent(request.line(), line -> new AtomicInteger())
+                .getAndIncrement();
+        if (name.equals("sound") || before > 0) {
+            connection.send(sound);
+            return;
+        }
+        connection.send(MalformedHead.valueOf(name).in(sound));
+        if (connection.isClosedWithin(CLOSED_WITHIN_MILLIS)) {
+            closed.incrementAndGet();
+        }
+    }
+
+    private int received(String method, String path) {
+        return receivedByLine.entrySet().stream()
+                .filter(each ->
+                        each.getKey().startsWith(method + " ") && each.getKey().contains(path + " "))
+                .mapToInt(each -> each.getValue().get())
+                .sum();
+    }
+
+    /** Guards against a malformed response that its caller gets, and against a second run of its request. */
+    @ParameterizedTest
+    @EnumSource
+    void requestThatRunsOnceEndsWith502(MalformedHead shape) {
+        int closedBefore = closed.get();
+        long droppedBefore = gateway.counter("gateway.responses.dropped.malformed");
+        String path = "/refunds/" + shape;
+        Map<String, String> key = Map.of("Idempotency-Key", shape.name());
+        HttpAnswer answer = gateway.call("POST", path, key, new byte[] {1});
+        assertEquals(502, answer.status(), answer.text());
+        assertEquals("upstream-failed", answer.header("Bulrushwheel-Refusal").orElse("none"));
+        assertEquals("unknown", answer.header("Bulrushwheel-Run-State").orElse("none"));
+        GatewayFixture.await(() -> closed.get() == closedBefore + 1);
+        assertEquals(droppedBefore + 1, gateway.counter("gateway.responses.dropped.malformed"));
+        HttpAnswer repeated = gateway.call("POST", path, key, new byte[] {1});
+        assertEquals("unknown", repeated.header("Bulrushwheel-Run-State").orElse("none"), repeated.text());
+        assertEquals(1, received("POST", path));
+    }
+
+    /** Guards against a repeatable request that is not retried, or is suspected of crashing endpoints. */
+    @ParameterizedTest
+    @EnumSource
+    void repeatableRequestIsRetried(MalformedHead shape) {
+        int closedBefore = closed.get();
+        String path = "/items/" + shape;
+        for (int index = 0; index < SOUND_REQUESTS; index++) {
+            assertEquals("whole", gateway.get("/sound").text());
+        }
+        HttpAnswer answer = gateway.get(path);
+        assertEquals(200, answer.status(), answer.text());
+        assertEquals("whole", answer.text());
+        assertEquals(2, received("GET", path));
+        GatewayFixture.await(() -> closed.get() == closedBefore + 1);
+    }
+}
