Drop responses with several lengths, or a length that is no number

Seen by callers of the gateway: with two different lengths the first one counted, and "who" came as the whole of "whole"; two equal ones and "+5" were taken for 5.

Cause: the gateway's client reads the first Content-Length and parses it as Java does.

Change: HeadSyntax refuses a second Content-Length, a list, and what is not one to eighteen digits, for both places.

Measured (x86_64): 10 shapes of lengths. GatewayMalformedResponseTest, repeatable requests: 3 of 10 rows failed before, none after; the other 7 ended as failures of a connection and are counted as malformed now. MalformedResponseTest: all 20 rows passed before as well.

--- a/src/main/java/org/bulrushwheel/logic/response/HeadSyntax.java
+++ b/src/main/java/org/bulrushwheel/logic/response/HeadSyntax.java
@@ -1,6 +1,7 @@
 package org.bulrushwheel.logic.response;
 
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /**
  * Checks the bytes of response heads against the grammar of HTTP/1.1 (RFC 9112, sections 4 and 5), of which decoders accept
@@ -8,8 +9,8 @@
  *
  * <p>Invariants: the result does not depend on how the bytes are divided among calls; an informational head is followed by
  * another one. Lines may end without a carriage return, and the reason phrase may be missing together with the blank before
- * it. Folded lines are malformed, since they can't be told from a field name that begins with a blank. Not thread safe:
- * confined to the reader of one connection.
+ * it. Folded lines are malformed, since they can't be told from a field name that begins with a blank, and so is a length
+ * other than a single number. Not thread safe: confined to the reader of one connection.
  */
 public final class HeadSyntax {
     /** A part of a head that can be malformed. */
@@ -46,12 +47,19 @@
     private static final int STATUS_CLASS_INDEX = MINOR_VERSION_INDEX + 2;
     private static final int STATUS_END_INDEX = STATUS_CLASS_INDEX + 3;
     private static final int DELETE = 0x7f;
+    private static final String LENGTH_NAME = "content-length";
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
+    // No name or value that decides about the framing is longer.
+    private static final int MAX_KEPT_CHARACTERS = 64;
     private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
 
+    private final StringBuilder fieldName = new StringBuilder();
+    private final StringBuilder fieldValue = new StringBuilder();
     private State state = State.STATUS;
     private Part part = Part.STATUS_LINE;
     private int lineIndex;
     private boolean informational;
+    private boolean hasLength;
 
     /** Expects the head of a response next. */
     public void begin() {
@@ -59,6 +67,7 @@
         part = Part.STATUS_LINE;
         lineIndex = 0;
         informational = false;
+        hasLength = false;
     }
 
     /** Checks the next byte; bytes behind a head are ignored until the next one begins. */
@@ -118,12 +127,32 @@
     }
 
     private void onText(int octet) {
-        if (octet == '\r') {
-            state = State.LINE_END;
-        } else if (octet == '\n') {
-            state = State.LINE_START;
+        if (octet == '\r' || octet == '\n') {
+            state = octet == '\r' ? State.LINE_END : State.LINE_START;
+            if (part == Part.FIELD_VALUE) {
+                onField();
+            }
         } else if ((octet < ' ' && octet != '\t') || octet == DELETE) {
             state = State.MALFORMED;
+        } else {
+            keep(octet, fieldValue);
+        }
+    }
+
+    /** Refuses lengths that readers understand differently. */
+    private void onField() {
+        if (!fieldName.toString().equalsIgnoreCase(LENGTH_NAME)) {
+            return;
+        }
+        if (hasLength || !LENGTH.matcher(fieldValue.toString().strip()).matches()) {
+            state = State.MALFORMED;
+        }
+        hasLength = true;
+    }
+
+    private static void keep(int octet, StringBuilder text) {
+        if (text.length() < MAX_KEPT_CHARACTERS) {
+            text.append((char) octet);
         }
     }
 
@@ -134,15 +163,20 @@
         } else if (octet == '\n') {
             state = afterHead();
         } else {
-            state = isTokenOctet(octet) ? State.NAME : State.MALFORMED;
+            fieldName.setLength(0);
+            fieldValue.setLength(0);
+            state = State.NAME;
+            onName(octet);
         }
     }
 
     private void onName(int octet) {
-        if (octet == ':') {
+        if (octet == ':' && !fieldName.isEmpty()) {
             part = Part.FIELD_VALUE;
             state = State.TEXT;
-        } else if (!isTokenOctet(octet)) {
+        } else if (isTokenOctet(octet)) {
+            keep(octet, fieldName);
+        } else {
             state = State.MALFORMED;
         }
     }
--- a/src/test/java/org/bulrushwheel/logic/response/MalformedHead.java
+++ b/src/test/java/org/bulrushwheel/logic/response/MalformedHead.java
@@ -57,7 +57,18 @@
     VALUE_WITH_CONTROL_BYTE("sound", "so\u0001und"),
     VALUE_WITH_CARRIAGE_RETURN("sound", "so\rund"),
     VALUE_WITH_DELETE("sound", "so\u007fund"),
-    VALUE_FOLDED("sound", "so\r\n und");
+    VALUE_FOLDED("sound", "so\r\n und"),
+
+    LENGTHS_THAT_DIFFER("Content-Length: 5", "Content-Length: 3\r\nContent-Length: 5"),
+    LENGTH_REPEATED("Content-Length: 5", "Content-Length: 5\r\ncontent-length: 5"),
+    LENGTH_LIST("Content-Length: 5", "Content-Length: 5, 5"),
+    LENGTH_LIST_THAT_DIFFERS("Content-Length: 5", "Content-Length: 3, 5"),
+    LENGTH_WITH_SIGN("Content-Length: 5", "Content-Length: +5"),
+    LENGTH_NEGATIVE("Content-Length: 5", "Content-Length: -5"),
+    LENGTH_WITH_LETTER("Content-Length: 5", "Content-Length: 5x"),
+    LENGTH_OF_TWO_NUMBERS("Content-Length: 5", "Content-Length: 3 5"),
+    LENGTH_EMPTY("Content-Length: 5", "Content-Length:"),
+    LENGTH_TOO_LARGE("Content-Length: 5", "Content-Length: 99999999999999999999");
 
     private final String sound;
     private final String broken;
--- a/src/test/java/org/bulrushwheel/server/gateway/GatewayResponseIdentityTest.java
+++ b/src/test/java/org/bulrushwheel/server/gateway/GatewayResponseIdentityTest.java
@@ -236,12 +236,14 @@
     }
 
     /** Guards against a request that is refused as one that crashes endpoints, since its responses were dropped. */
-    @Test
-    void requestWhoseResponsesAreDroppedIsNotTakenForOneThatCrashesEndpoints() throws IOException {
+    @ParameterizedTest
+    @CsvSource({"'Id: ', 'Id: x'", "HTTP/1.1 200, HTTP/1.1 000", "Content-Length:, Content Length:"})
+    void requestWhoseResponsesAreDroppedIsNotTakenForOneThatCrashesEndpoints(String part, String replacement)
+            throws IOException {
         AtomicBoolean faulty = new AtomicBoolean(true);
         ScriptedEndpoint.Script script = (request, connection) -> {
             String answer = ScriptedEndpoint.ok(request, "whole");
-            connection.send(faulty.get() ? answer.replace("Id: ", "Id: x") : answer);
+            connection.send(faulty.get() ? answer.replace(part, replacement) : answer);
         };
         try (ScriptedEndpoint first = new ScriptedEndpoint(script);
                 ScriptedEndpoint second = new ScriptedEndpoint(script)) {
