Check no head behind the end of a head

Cause: GuardedSource checked what it read for a head until it had seen one whole, also after its reader had said that a body follows. On GuardedSourceTest, which reads a body without a head, was red for that; no caller could see it, as a reader has always got a whole head by then.

Change: bytes are checked as a head only while one is being read.

--- a/src/main/java/org/bulrushwheel/server/gateway/GuardedSource.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/GuardedSource.java
@@ -75,7 +75,7 @@
     }
 
     private void checkHead(ByteBuffer bytes, int start) throws IOException {
-        for (int index = start; index < bytes.position() && !headSyntax.isDecided(); index++) {
+        for (int index = start; inHead && index < bytes.position() && !headSyntax.isDecided(); index++) {
             headSyntax.accept(bytes.get(index));
         }
         if (headSyntax.malformedPart().isPresent()) {
