Drop responses whose chunks are malformed at the gateway

Seen by callers of the gateway: a chunk that is longer than its size says came as a whole body of that size; so did sizes like "5g" and "5 x" and control bytes behind a size. Data without an end of line ended with 504 at the deadline, or broke off.

Cause: the gateway's client looks for the next end of line behind a size and behind the data of a chunk, and skips what stands before it.

Change: ChunkSyntax checks the division into chunks as HeadSyntax checks the head; GuardedSource feeds both. What breaks before the answer to the caller has begun ends as a dropped response, reason malformed, or is retried; later, the caller's connection is closed.

--- a/src/main/java/org/bulrushwheel/logic/response/HeadSyntax.java
+++ b/src/main/java/org/bulrushwheel/logic/response/HeadSyntax.java
@@ -1,6 +1,7 @@
 package org.bulrushwheel.logic.response;
 
 import java.util.Optional;
+import java.util.Set;
 import java.util.regex.Pattern;
 
 /**
@@ -48,26 +49,31 @@
     private static final int STATUS_END_INDEX = STATUS_CLASS_INDEX + 3;
     private static final int DELETE = 0x7f;
     private static final String LENGTH_NAME = "content-length";
+    private static final String CODING_NAME = "transfer-encoding";
+    private static final String CHUNKED = "chunked";
+    private static final Set<String> BODILESS_STATUSES = Set.of("204", "304");
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
     // No name or value that decides about the framing is longer.
     private static final int MAX_KEPT_CHARACTERS = 64;
     private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
 
+    private final StringBuilder status = new StringBuilder();
     private final StringBuilder fieldName = new StringBuilder();
     private final StringBuilder fieldValue = new StringBuilder();
     private State state = State.STATUS;
     private Part part = Part.STATUS_LINE;
     private int lineIndex;
-    private boolean informational;
     private boolean hasLength;
+    private boolean chunked;
 
     /** Expects the head of a response next. */
     public void begin() {
         state = State.STATUS;
         part = Part.STATUS_LINE;
         lineIndex = 0;
-        informational = false;
+        status.setLength(0);
         hasLength = false;
+        chunked = false;
     }
 
     /** Checks the next byte; bytes behind a head are ignored until the next one begins. */
@@ -91,6 +97,11 @@
         return state == State.COMPLETE || state == State.MALFORMED;
     }
 
+    /** Whether a head has been read whose status and fields announce a body in chunks; the request may still exclude it. */
+    public boolean announcesChunks() {
+        return state == State.COMPLETE && chunked && !BODILESS_STATUSES.contains(status.toString());
+    }
+
     /** Returns the part of the head that is malformed; empty if none was so far. */
     public Optional<Part> malformedPart() {
         return state == State.MALFORMED ? Optional.of(part) : Optional.empty();
@@ -101,7 +112,9 @@
             if (!isExpectedInStatus(octet)) {
                 state = State.MALFORMED;
             }
-            informational = informational || (lineIndex == STATUS_CLASS_INDEX && octet == '1');
+            if (lineIndex >= STATUS_CLASS_INDEX) {
+                status.append((char) octet);
+            }
             lineIndex++;
             return;
         }
@@ -139,15 +152,17 @@
         }
     }
 
-    /** Refuses lengths that readers understand differently. */
     private void onField() {
-        if (!fieldName.toString().equalsIgnoreCase(LENGTH_NAME)) {
-            return;
-        }
-        if (hasLength || !LENGTH.matcher(fieldValue.toString().strip()).matches()) {
-            state = State.MALFORMED;
+        String name = fieldName.toString();
+        if (name.equalsIgnoreCase(LENGTH_NAME)) {
+            // Readers understand several lengths, and one that is no number, differently.
+            if (hasLength || !LENGTH.matcher(fieldValue.toString().strip()).matches()) {
+                state = State.MALFORMED;
+            }
+            hasLength = true;
+        } else if (name.equalsIgnoreCase(CODING_NAME)) {
+            chunked = fieldValue.toString().strip().equalsIgnoreCase(CHUNKED);
         }
-        hasLength = true;
     }
 
     private static void keep(int octet, StringBuilder text) {
@@ -182,6 +197,7 @@
     }
 
     private State afterHead() {
+        boolean informational = status.charAt(0) == '1';
         if (!informational) {
             return State.COMPLETE;
         }
--- a/src/main/java/org/bulrushwheel/server/gateway/Attempt.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/Attempt.java
@@ -37,7 +37,7 @@
 
     /** Whether the attempt got a response that is not HTTP/1.1. */
     boolean hasMalformedResponse() {
-        return connection.flatMap(each -> each.source().malformedPart()).isPresent();
+        return connection.filter(each -> each.source().isMalformed()).isPresent();
     }
 
     /** Finishes the attempt and releases its lease; returns false if it was already finished. */
--- a/src/main/java/org/bulrushwheel/server/gateway/DropReason.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/DropReason.java
@@ -14,7 +14,7 @@
     JOINED("joined"),
     /** It is informational, and the client does not read the response that follows it. */
     INFORMATIONAL("informational"),
-    /** Its head is not HTTP/1.1. */
+    /** Its head, or its division into chunks, is not HTTP/1.1. */
     MALFORMED("malformed");
 
     private final String key;
--- a/src/main/java/org/bulrushwheel/server/gateway/GatewayExchange.java
+++ b/src/main/java/org/bulrushwheel/server/gateway/GatewayExchange.java
@@ -149,7 +149,7 @@
         attempt.connection = Optional.of(connection);
         attempt.reusedConnection = connection.reused();
         bodyConsumed = bodyConsumed || streamed;
-        connection.source().beginHead();
+        connection.source().beginHead(request.method());
         connection.connection().sendRequest(upstreamRequest(attempt), new ClientCallback<>() {
             @Override
             public void completed(ClientExchange clientExchange) {
--- a/src/test/java/org/bulrushwheel/logic/response/HeadSyntaxTest.java
+++ b/src/test/java/org/bulrushwheel/logic/response/HeadSyntaxTest.java
@@ -31,7 +31,7 @@
             if (before.equals(sound)) {
                 syntax.begin();
             }
-            accept(shape.in(sound));
+            accept(shape.response("a1"));
             assertTrue(syntax.malformedPart().isPresent(), "behind " + before);
         }
     }
@@ -39,14 +39,13 @@
     /** Guards against a part that names the wrong place to an operator. */
     @Test
     void malformedPartIsNamed() {
-        String sound = MalformedHead.soundResponse("a1");
-        accept(MalformedHead.STATUS_000.in(sound));
+        accept(MalformedHead.STATUS_000.response("a1"));
         assertEquals(HeadSyntax.Part.STATUS_LINE, syntax.malformedPart().orElseThrow());
         syntax.begin();
-        accept(MalformedHead.NAME_WITH_BLANK.in(sound));
+        accept(MalformedHead.NAME_WITH_BLANK.response("a1"));
         assertEquals(HeadSyntax.Part.FIELD_NAME, syntax.malformedPart().orElseThrow());
         syntax.begin();
-        accept(MalformedHead.VALUE_WITH_NUL.in(sound));
+        accept(MalformedHead.VALUE_WITH_NUL.response("a1"));
         assertEquals(HeadSyntax.Part.FIELD_VALUE, syntax.malformedPart().orElseThrow());
     }
 
--- a/src/test/java/org/bulrushwheel/logic/response/MalformedHead.java
+++ b/src/test/java/org/bulrushwheel/logic/response/MalformedHead.java
@@ -1,7 +1,10 @@
 package org.bulrushwheel.logic.response;
 
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
 /** Response heads that are not HTTP/1.1 (RFC 9112, sections 4 and 5), each made of a sound response. */
-public enum MalformedHead {
+public enum MalformedHead implements MalformedShape {
     STATUS_000("200 OK", "000 OK"),
     STATUS_099("200 OK", "099 OK"),
     STATUS_600("200 OK", "600 OK"),
@@ -88,12 +91,8 @@
                 + "\r\nNote: sound\r\nContent-Length: 5\r\n\r\nwhole";
     }
 
-    /** Returns the response with its head broken. */
-    public String in(String soundResponse) {
-        if (!soundResponse.contains(sound)) {
-            throw new IllegalArgumentException("nothing to break for " + this + " in " + soundResponse);
-        }
-        return soundResponse.replaceFirst(
-                java.util.regex.Pattern.quote(sound), java.util.regex.Matcher.quoteReplacement(broken));
+    @Override
+    public String response(String requestId) {
+        return soundResponse(requestId).replaceFirst(Pattern.quote(sound), Matcher.quoteReplacement(broken));
     }
 }
--- a/src/test/java/org/bulrushwheel/server/edge/MalformedResponseTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/MalformedResponseTest.java
@@ -7,19 +7,20 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.bulrushwheel.logic.response.MalformedHead;
+import org.bulrushwheel.logic.response.MalformedShape;
 import org.bulrushwheel.model.decision.DecisionKind;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Responses with a malformed head on the connections of an entry instance. */
+/** Malformed responses on the connections of an entry instance. */
 @Timeout(30)
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class MalformedResponseTest {
@@ -42,15 +43,15 @@
 
     /** The first request of a path that ends with the name of a shape gets a malformed response. */
     private void answer(ScriptedEndpoint.Received request, ScriptedEndpoint.Connection connection) throws IOException {
-        String sound = MalformedHead.soundResponse(request.header("Bulrushwheel-Request-Id"));
+        String id = request.header("Bulrushwheel-Request-Id");
         String path = request.line().split(" ")[1];
         int before = received(path).getAndIncrement();
         if (path.endsWith("/sound") || before > 0) {
-            connection.send(sound);
+            connection.send(MalformedHead.soundResponse(id));
             return;
         }
         connection.send(
-                MalformedHead.valueOf(path.substring(path.lastIndexOf('/') + 1)).in(sound));
+                MalformedShape.named(path.substring(path.lastIndexOf('/') + 1)).response(id));
         if (connection.isClosedWithin(CLOSED_WITHIN_MILLIS)) {
             closed.incrementAndGet();
         }
@@ -69,8 +70,8 @@
 
     /** Guards against a malformed response that its caller gets, and against a second run of its request. */
     @ParameterizedTest
-    @EnumSource
-    void requestThatRunsOnceEndsWith502(MalformedHead shape) throws Exception {
+    @MethodSource("org.bulrushwheel.logic.response.MalformedShape#all")
+    void requestThatRunsOnceEndsWith502(MalformedShape shape) throws Exception {
         keepConnections();
         int closedBefore = closed.get();
         int droppedBefore = edge.reasonsOf(DecisionKind.RESPONSE_DROPPED).size();
@@ -86,8 +87,8 @@
 
     /** Guards against a repeatable request that is not retried after a malformed response. */
     @ParameterizedTest
-    @EnumSource
-    void repeatableRequestIsRetried(MalformedHead shape) throws Exception {
+    @MethodSource("org.bulrushwheel.logic.response.MalformedShape#all")
+    void repeatableRequestIsRetried(MalformedShape shape) throws Exception {
         keepConnections();
         int closedBefore = closed.get();
         String answer = edge.callPatiently("/read/" + shape, "read-" + shape);
--- a/src/test/java/org/bulrushwheel/server/gateway/GatewayMalformedResponseTest.java
+++ b/src/test/java/org/bulrushwheel/server/gateway/GatewayMalformedResponseTest.java
@@ -7,22 +7,25 @@
 
 import org.bulrushwheel.client.HttpAnswer;
 import org.bulrushwheel.logic.response.MalformedHead;
+import org.bulrushwheel.logic.response.MalformedShape;
 import org.bulrushwheel.server.edge.ScriptedEndpoint;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-/** Responses with a malformed head on the connections of the gateway. */
+/** Malformed responses on the connections of the gateway. */
 @Timeout(60)
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class GatewayMalformedResponseTest {
     private static final int CLOSED_WITHIN_MILLIS = 5_000;
     private static final int SOUND_REQUESTS = 10;
+    private static final int PAUSE_MILLIS = 200;
 
     private final Map<String, AtomicInteger> receivedByLine = new ConcurrentHashMap<>();
     private final AtomicInteger closed = new AtomicInteger();
@@ -49,22 +52,41 @@
 
     /** The first request of a path that ends with the name of a shape gets a malformed response. */
     private void answer(ScriptedEndpoint.Received request, ScriptedEndpoint.Connection connection) throws IOException {
-        String sound = MalformedHead.soundResponse(request.header("Bulrushwheel-Request-Id"));
+        String id = request.header("Bulrushwheel-Request-Id");
         String path = request.line().split(" ")[1];
         String name = path.substring(path.lastIndexOf('/') + 1);
         int before = receivedByLine
                 .computeIfAbsent(request.line(), line -> new AtomicInteger())
                 .getAndIncrement();
         if (name.equals("sound") || before > 0) {
-            connection.send(sound);
+            connection.send(MalformedHead.soundResponse(id));
             return;
         }
-        connection.send(MalformedHead.valueOf(name).in(sound));
+        if (name.equals("late")) {
+            connection.send(chunkedHead(id) + "5\r\nwhole\r\n");
+            pause();
+            connection.send("1\r\nxyz\r\n0\r\n\r\n");
+            return;
+        }
+        connection.send(MalformedShape.named(name).response(id));
         if (connection.isClosedWithin(CLOSED_WITHIN_MILLIS)) {
             closed.incrementAndGet();
         }
     }
 
+    private static String chunkedHead(String id) {
+        String sound = MalformedHead.soundResponse(id);
+        return sound.substring(0, sound.indexOf("Content-Length")) + "Transfer-Encoding: chunked\r\n\r\n";
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(PAUSE_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private int received(String method, String path) {
         return receivedByLine.entrySet().stream()
                 .filter(each ->
@@ -75,8 +97,8 @@
 
     /** Guards against a malformed response that its caller gets, and against a second run of its request. */
     @ParameterizedTest
-    @EnumSource
-    void requestThatRunsOnceEndsWith502(MalformedHead shape) {
+    @MethodSource("org.bulrushwheel.logic.response.MalformedShape#all")
+    void requestThatRunsOnceEndsWith502(MalformedShape shape) {
         int closedBefore = closed.get();
         long droppedBefore = gateway.counter("gateway.responses.dropped.malformed");
         String path = "/refunds/" + shape;
@@ -94,8 +116,8 @@
 
     /** Guards against a repeatable request that is not retried, or is suspected of crashing endpoints. */
     @ParameterizedTest
-    @EnumSource
-    void repeatableRequestIsRetried(MalformedHead shape) {
+    @MethodSource("org.bulrushwheel.logic.response.MalformedShape#all")
+    void repeatableRequestIsRetried(MalformedShape shape) {
         int closedBefore = closed.get();
         String path = "/items/" + shape;
         for (int index = 0; index < SOUND_REQUESTS; index++) {
@@ -107,4 +129,14 @@
         assertEquals(2, received("GET", path));
         GatewayFixture.await(() -> closed.get() == closedBefore + 1);
     }
+
+    /** Guards against a response that looks whole although its chunks break behind its beginning. */
+    @Test
+    void responseThatBreaksBehindItsBeginningEndsVisibly() {
+        HttpAnswer answer = gateway.get("/items/late");
+        assertEquals(0, answer.status(), answer.text());
+        HttpAnswer once = gateway.call("POST", "/refunds/late", Map.of("Idempotency-Key", "late"), new byte[] {1});
+        assertEquals(502, once.status(), once.text());
+        assertEquals("unknown", once.header("Bulrushwheel-Run-State").orElse("none"));
+    }
 }
