Read the responses to commands and tools by the same rule

Seen by operators (in tests; not reported): commands and the stand-ins' announcements took malformed responses for answers, such as status 600, 2000 as 200, a folded length, two different lengths, or a chunk that is longer than its size says.

Cause: HttpCaller read responses with the client of the Java library, which accepts these and shows its caller neither the bytes of a response nor its reason phrase, so nothing could check them.

Change: HttpCaller is built on Netty and the decoder of entry instances, which moves to wire.http. Time-outs, the limit of a body, kept connections and the one repetition of a GET on a connection that was closed are as before.

OpenLoopLoad, which sends the load of measure and counts all but 200 as failed, still uses the client of the Java library.

--- /dev/null
+++ b/src/main/java/org/bulrushwheel/client/CallConnection.java
@@ -0,0 +1,130 @@
+package org.bulrushwheel.client;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import org.bulrushwheel.wire.http.ResponseDecoder;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A connection that carries one call at a time.
+ *
+ * <p>Invariant: it is kept only after a whole response behind which nothing has arrived. Thread safe: all state is confined
+ * to its event loop.
+ */
+final class CallConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final ResponseDecoder decoder = new ResponseDecoder();
+    private final Channel channel;
+    private final Consumer<CallConnection> keeper;
+    private @Nullable CompletableFuture<HttpAnswer> pending;
+    private boolean reused;
+
+    /**
+     * Adds the connection to a channel that is not open yet.
+     *
+     * @param maxBodyBytes limit of a response body
+     * @param keeper gets the connection each time it can carry another call
+     */
+    CallConnection(Channel channel, int maxBodyBytes, Consumer<CallConnection> keeper) {
+        this.channel = channel;
+        this.keeper = keeper;
+        channel.pipeline()
+                .addLast(decoder)
+                .addLast(new HttpRequestEncoder())
+                .addLast(new HttpObjectAggregator(maxBodyBytes))
+                .addLast(this);
+    }
+
+    /** Whether the other side has not closed the connection, as far as is known. */
+    boolean isOpen() {
+        return channel.isActive();
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param answer completed with the response, or with a {@link KeptConnectionClosedException} if the connection had
+     *     carried a call and was closed, or with another reason why there is none
+     */
+    void send(FullHttpRequest request, CompletableFuture<HttpAnswer> answer) {
+        channel.eventLoop().execute(() -> {
+            pending = answer;
+            decoder.setMethod(request.method());
+            channel.writeAndFlush(request).addListener(written -> {
+                if (!written.isSuccess()) {
+                    fail(written.cause());
+                }
+            });
+        });
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+        if (response.decoderResult().isFailure()) {
+            fail(response.decoderResult().cause());
+            return;
+        }
+        CompletableFuture<HttpAnswer> answer = pending;
+        if (answer == null || response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            return;
+        }
+        pending = null;
+        if (HttpUtil.isKeepAlive(response) && !decoder.hasUndecodedBytes()) {
+            reused = true;
+            keeper.accept(this);
+        } else {
+            close();
+        }
+        answer.complete(new HttpAnswer(
+                response.status().code(), valuesByName(response.headers()), ByteBufUtil.getBytes(response.content())));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        fail(
+                reused
+                        ? new KeptConnectionClosedException()
+                        : new IOException("the connection was closed before the response was complete"));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        fail(cause);
+    }
+
+    private void fail(Throwable cause) {
+        CompletableFuture<HttpAnswer> answer = pending;
+        pending = null;
+        close();
+        if (answer != null) {
+            answer.completeExceptionally(cause);
+        }
+    }
+
+    private static Map<String, List<String>> valuesByName(HttpHeaders headers) {
+        Map<String, List<String>> values = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        headers.forEach(header -> values.computeIfAbsent(header.getKey(), name -> new ArrayList<>())
+                .add(header.getValue()));
+        return values;
+    }
+}
--- a/src/main/java/org/bulrushwheel/server/edge/EndpointConnection.java
+++ b/src/main/java/org/bulrushwheel/server/edge/EndpointConnection.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.bulrushwheel.logic.response.JoinedHead;
+import org.bulrushwheel.wire.http.ResponseDecoder;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
--- a/src/main/java/org/bulrushwheel/server/edge/ResponseDecoder.java
+++ b/src/main/java/org/bulrushwheel/wire/http/ResponseDecoder.java
@@ -1,4 +1,4 @@
-package org.bulrushwheel.server.edge;
+package org.bulrushwheel.wire.http;
 
 import java.util.List;
 
@@ -21,7 +21,7 @@
  * request in flight decides how a response is framed, no matter how many responses came before. Not thread safe: confined
  * to one event loop.
  */
-final class ResponseDecoder extends HttpResponseDecoder {
+public final class ResponseDecoder extends HttpResponseDecoder {
     private static final int MAX_INITIAL_LINE_BYTES = 8_192;
     private static final int MAX_HEADER_BYTES = 65_536;
     private static final int MAX_CHUNK_BYTES = 65_536;
@@ -29,12 +29,13 @@
      * Bytes that may arrive for a response without being part of a body. The decoder's own limits come first, wherever it
      * has any; it does not count line ends and separators.
      */
-    static final int MAX_FRAMING_BYTES = 2 * (MAX_INITIAL_LINE_BYTES + MAX_HEADER_BYTES);
+    public static final int MAX_FRAMING_BYTES = 2 * (MAX_INITIAL_LINE_BYTES + MAX_HEADER_BYTES);
 
     private final HeadSyntax headSyntax = new HeadSyntax();
     private HttpMethod method = HttpMethod.GET;
 
-    ResponseDecoder() {
+    /** Creates a decoder for the responses to GET requests. */
+    public ResponseDecoder() {
         super(new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
@@ -42,12 +43,12 @@
     }
 
     /** Sets the method of the request that is sent next. */
-    void setMethod(HttpMethod newMethod) {
+    public void setMethod(HttpMethod newMethod) {
         method = newMethod;
     }
 
     /** Whether bytes have arrived that are not part of any response decoded so far. */
-    boolean hasUndecodedBytes() {
+    public boolean hasUndecodedBytes() {
         return actualReadableBytes() > 0;
     }
 
--- a/src/test/java/org/bulrushwheel/client/HttpCallerTest.java
+++ b/src/test/java/org/bulrushwheel/client/HttpCallerTest.java
@@ -6,12 +6,16 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 
+import org.bulrushwheel.logic.response.MalformedShape;
+import org.bulrushwheel.server.edge.ScriptedEndpoint;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -44,6 +48,43 @@
                 new HttpCaller().get("127.0.0.1:" + server.getLocalPort(), "/").status());
     }
 
+    /** Guards against a malformed response that a command takes for an answer. */
+    @ParameterizedTest
+    @MethodSource("org.bulrushwheel.logic.response.MalformedShape#all")
+    void malformedResponseIsNoAnswer(MalformedShape shape) throws IOException {
+        try (ScriptedEndpoint endpoint = new ScriptedEndpoint((request, connection) -> {
+            connection.send(shape.response("a1"));
+            connection.socket().close();
+        })) {
+            HttpAnswer answer = new HttpCaller().get(endpoint.address(), "/");
+            assertEquals(0, answer.status(), answer.text());
+        }
+    }
+
+    /** Guards against a sound response that a command does not get. */
+    @ParameterizedTest
+    @CsvSource({
+        "GET, 'HTTP/1.1 200 OK|Content-Length: 5||whole', whole",
+        "GET, 'HTTP/1.0 200 OK||whole', whole",
+        "GET, 'HTTP/1.1 200 OK|Transfer-Encoding: chunked||5|whole|0||', whole",
+        "GET, 'HTTP/1.1 103 Early Hints||HTTP/1.1 200 OK|Content-Length: 5||whole', whole",
+        "HEAD, 'HTTP/1.1 200 OK|Content-Length: 5||', ''",
+        "POST, 'HTTP/1.1 200 OK|Content-Length: 0||', ''"
+    })
+    void soundResponseIsTheAnswer(String method, String response, String body) throws IOException {
+        try (ScriptedEndpoint endpoint = new ScriptedEndpoint((request, connection) -> {
+            connection.send(response.replace("|", "\r\n"));
+            connection.socket().close();
+        })) {
+            HttpAnswer answer =
+                    new HttpCaller().call(method, endpoint.address(), "/a?b", Map.of("X-A", "1"), new byte[0]);
+            assertEquals(200, answer.status(), answer.text());
+            assertEquals(body, answer.text());
+            assertEquals(method + " /a?b HTTP/1.1", endpoint.received().get(0).line());
+            assertEquals("1", endpoint.received().get(0).header("X-A"));
+        }
+    }
+
     private void answer(String head, String chunk, int partBytes, int pauseMillis) {
         try (Socket socket = server.accept()) {
             OutputStream output = socket.getOutputStream();
