Test that a malformed trailer costs no body and reaches no caller

Cause: a trailer is a field too, and no test said what becomes of one. It held: both places leave trailers out, and the body before it is whole by then.

Change: a test each for entry instances and the gateway; no logic is changed.

--- a/src/test/java/org/bulrushwheel/logic/response/MalformedChunks.java
+++ b/src/test/java/org/bulrushwheel/logic/response/MalformedChunks.java
@@ -32,7 +32,16 @@
 
     @Override
     public String response(String requestId) {
+        return chunkedHead(requestId) + body;
+    }
+
+    /**
+     * Returns the head of a response in chunks.
+     *
+     * @param requestId ID of its request
+     */
+    public static String chunkedHead(String requestId) {
         return MalformedHead.soundResponse(requestId)
-                .replace("Content-Length: 5\r\n\r\nwhole", "Transfer-Encoding: chunked\r\n\r\n" + body);
+                .replace("Content-Length: 5\r\n\r\nwhole", "Transfer-Encoding: chunked\r\n\r\n");
     }
 }
--- a/src/test/java/org/bulrushwheel/server/edge/MalformedResponseTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/MalformedResponseTest.java
@@ -6,11 +6,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import org.bulrushwheel.logic.response.MalformedChunks;
 import org.bulrushwheel.logic.response.MalformedHead;
 import org.bulrushwheel.logic.response.MalformedShape;
 import org.bulrushwheel.model.decision.DecisionKind;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -50,6 +52,10 @@
             connection.send(MalformedHead.soundResponse(id));
             return;
         }
+        if (path.endsWith("/trailer")) {
+            connection.send(MalformedChunks.chunkedHead(id) + "5\r\nwhole\r\n0\r\nNo te: sound\r\n\r\n");
+            return;
+        }
         connection.send(
                 MalformedShape.named(path.substring(path.lastIndexOf('/') + 1)).response(id));
         if (connection.isClosedWithin(CLOSED_WITHIN_MILLIS)) {
@@ -98,6 +104,15 @@
         awaitClosed(closedBefore + 1);
     }
 
+    /** Guards against a whole body that is lost with a trailer, and against a trailer that a caller gets. */
+    @Test
+    void malformedTrailerIsLeftOut() throws IOException {
+        String answer = edge.callPatiently("/file/trailer", "trailer");
+        assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+        assertTrue(answer.contains("whole"), answer);
+        assertFalse(answer.contains("No te"), answer);
+    }
+
     private void awaitClosed(int expected) throws InterruptedException {
         long deadlineNanos = System.nanoTime() + CLOSED_WITHIN_MILLIS * 1_000_000L;
         while (closed.get() < expected && System.nanoTime() < deadlineNanos) {
--- a/src/test/java/org/bulrushwheel/server/gateway/GatewayMalformedResponseTest.java
+++ b/src/test/java/org/bulrushwheel/server/gateway/GatewayMalformedResponseTest.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.bulrushwheel.client.HttpAnswer;
+import org.bulrushwheel.logic.response.MalformedChunks;
 import org.bulrushwheel.logic.response.MalformedHead;
 import org.bulrushwheel.logic.response.MalformedShape;
 import org.bulrushwheel.server.edge.ScriptedEndpoint;
@@ -18,6 +19,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Malformed responses on the connections of the gateway. */
 @Timeout(60)
@@ -62,8 +64,12 @@
             connection.send(MalformedHead.soundResponse(id));
             return;
         }
+        if (name.equals("trailer")) {
+            connection.send(MalformedChunks.chunkedHead(id) + "5\r\nwhole\r\n0\r\nNo te: sound\r\n\r\n");
+            return;
+        }
         if (name.equals("late")) {
-            connection.send(chunkedHead(id) + "5\r\nwhole\r\n");
+            connection.send(MalformedChunks.chunkedHead(id) + "5\r\nwhole\r\n");
             pause();
             connection.send("1\r\nxyz\r\n0\r\n\r\n");
             return;
@@ -74,11 +80,6 @@
         }
     }
 
-    private static String chunkedHead(String id) {
-        String sound = MalformedHead.soundResponse(id);
-        return sound.substring(0, sound.indexOf("Content-Length")) + "Transfer-Encoding: chunked\r\n\r\n";
-    }
-
     private static void pause() {
         try {
             Thread.sleep(PAUSE_MILLIS);
@@ -139,4 +140,13 @@
         assertEquals(502, once.status(), once.text());
         assertEquals("unknown", once.header("Bulrushwheel-Run-State").orElse("none"));
     }
+
+    /** Guards against a whole body that is lost with a trailer, and against a trailer that a caller gets. */
+    @Test
+    void malformedTrailerIsLeftOut() {
+        HttpAnswer answer = gateway.get("/items/trailer");
+        assertEquals(200, answer.status(), answer.text());
+        assertEquals("whole", answer.text());
+        assertTrue(answer.header("No te").isEmpty() && answer.header("No").isEmpty(), answer.headers()::toString);
+    }
 }
