--- a/src/main/java/org/bulrushwheel/logic/response/package-info.java
+++ b/src/main/java/org/bulrushwheel/logic/response/package-info.java
@@ -1,4 +1,4 @@
-/** What can be told of a response from its head alone. */
+/** What can be told of a response from its bytes alone. */
 @NullMarked
 package org.bulrushwheel.logic.response;
 
--- a/src/test/java/org/bulrushwheel/logic/response/MalformedHead.java
+++ b/src/test/java/org/bulrushwheel/logic/response/MalformedHead.java
@@ -32,6 +32,7 @@
     NAME_WITH_BLANK("Note:", "No te:"),
     NAME_WITH_TAB("Note:", "No\tte:"),
     NAME_WITH_LEADING_BLANK("Note:", " Note:"),
+    NAME_WITH_LEADING_BLANK_IN_FIRST_LINE("\r\nBulrushwheel", "\r\n First: sound\r\nBulrushwheel"),
     NAME_WITH_LEADING_TAB("Note:", "\tNote:"),
     NAME_WITH_TRAILING_BLANK("Note:", "Note :"),
     NAME_WITH_NUL("Note:", "No\u0000te:"),
