Close a kept connection of a command on bytes that answer no call

Seen in tests: a part of a stray response that arrives on a kept connection of HttpCaller was joined with the next response, which then failed as malformed. A connection that is closed while the next call is written failed a GET that would be sent again a moment later (by reading).

Cause: replaced a client that closes an idle connection when something arrives, and did not.

Change: bytes that arrive while no call is in flight close the connection, as those of entry instances; any failure of a kept connection counts as its end. The whole of a call, the repetition included, has one deadline. A response that is too long names the remedy again.

--- a/src/main/java/org/bulrushwheel/client/CallConnection.java
+++ b/src/main/java/org/bulrushwheel/client/CallConnection.java
@@ -11,7 +11,10 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -19,18 +22,20 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.ReferenceCountUtil;
 import org.bulrushwheel.wire.http.ResponseDecoder;
 import org.jspecify.annotations.Nullable;
 
 /**
  * A connection that carries one call at a time.
  *
- * <p>Invariant: it is kept only after a whole response behind which nothing has arrived. Thread safe: all state is confined
- * to its event loop.
+ * <p>Invariants: it is kept only after a whole response behind which nothing has arrived, and bytes that arrive while it
+ * carries no call close it. Thread safe: all state is confined to its event loop.
  */
 final class CallConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
     private final ResponseDecoder decoder = new ResponseDecoder();
     private final Channel channel;
+    private final int maxBodyBytes;
     private final Consumer<CallConnection> keeper;
     private @Nullable CompletableFuture<HttpAnswer> pending;
     private boolean reused;
@@ -43,8 +48,10 @@
      */
     CallConnection(Channel channel, int maxBodyBytes, Consumer<CallConnection> keeper) {
         this.channel = channel;
+        this.maxBodyBytes = maxBodyBytes;
         this.keeper = keeper;
         channel.pipeline()
+                .addLast(idleGuard())
                 .addLast(decoder)
                 .addLast(new HttpRequestEncoder())
                 .addLast(new HttpObjectAggregator(maxBodyBytes))
@@ -68,7 +75,7 @@
             decoder.setMethod(request.method());
             channel.writeAndFlush(request).addListener(written -> {
                 if (!written.isSuccess()) {
-                    fail(written.cause());
+                    onConnectionFailed(written.cause());
                 }
             });
         });
@@ -85,7 +92,11 @@
             return;
         }
         CompletableFuture<HttpAnswer> answer = pending;
-        if (answer == null || response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+        if (answer == null) {
+            close();
+            return;
+        }
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             return;
         }
         pending = null;
@@ -101,15 +112,38 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        fail(
-                reused
-                        ? new KeptConnectionClosedException()
-                        : new IOException("the connection was closed before the response was complete"));
+        onConnectionFailed(new IOException("the connection was closed before the response was complete"));
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        fail(cause);
+        if (cause instanceof TooLongFrameException) {
+            fail(new IOException(
+                    "the response has more than " + maxBodyBytes
+                            + " bytes; check that this is the address of an instance",
+                    cause));
+        } else {
+            onConnectionFailed(cause);
+        }
+    }
+
+    /** Returns a handler in front of the decoder, which would join a stray part of a response with the next response. */
+    private ChannelInboundHandler idleGuard() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object message) {
+                if (pending == null) {
+                    ReferenceCountUtil.release(message);
+                    close();
+                } else {
+                    context.fireChannelRead(message);
+                }
+            }
+        };
+    }
+
+    private void onConnectionFailed(Throwable cause) {
+        fail(reused && cause instanceof IOException ? new KeptConnectionClosedException(cause) : cause);
     }
 
     private void fail(Throwable cause) {
--- a/src/main/java/org/bulrushwheel/client/HttpCaller.java
+++ b/src/main/java/org/bulrushwheel/client/HttpCaller.java
@@ -74,7 +74,7 @@
                     }
                 }
             }
-            return await(connect(uri), request(method, uri, headers, body), deadlineNanos);
+            return await(connect(uri, deadlineNanos), request(method, uri, headers, body), deadlineNanos);
         } catch (ExecutionException e) {
             return HttpAnswer.none(String.valueOf(e.getCause()));
         } catch (TimeoutException e) {
@@ -128,7 +128,8 @@
         return keptByAuthority.computeIfAbsent(uri.getRawAuthority(), authority -> new ConcurrentLinkedDeque<>());
     }
 
-    private CallConnection connect(URI uri) throws ExecutionException, TimeoutException, InterruptedException {
+    private CallConnection connect(URI uri, long deadlineNanos)
+            throws ExecutionException, TimeoutException, InterruptedException {
         CompletableFuture<CallConnection> connection = new CompletableFuture<>();
         new Bootstrap()
                 .group(LOOPS)
@@ -143,7 +144,7 @@
                 })
                 .connect(uri.getHost(), uri.getPort())
                 .addListener((ChannelFutureListener) opened -> onOpened(opened, connection));
-        return connection.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        return connection.get(deadlineNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
     }
 
     private static void onOpened(ChannelFuture opened, CompletableFuture<CallConnection> connection) {
--- a/src/main/java/org/bulrushwheel/client/KeptConnectionClosedException.java
+++ b/src/main/java/org/bulrushwheel/client/KeptConnectionClosedException.java
@@ -10,7 +10,7 @@
 final class KeptConnectionClosedException extends IOException {
     private static final long serialVersionUID = 1L;
 
-    KeptConnectionClosedException() {
-        super("the kept connection was closed before the response was complete");
+    KeptConnectionClosedException(Throwable cause) {
+        super("the kept connection was closed before the response was complete", cause);
     }
 }
--- a/src/test/java/org/bulrushwheel/client/HttpCallerTest.java
+++ b/src/test/java/org/bulrushwheel/client/HttpCallerTest.java
@@ -7,7 +7,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 
+import org.bulrushwheel.logic.response.MalformedHead;
 import org.bulrushwheel.logic.response.MalformedShape;
 import org.bulrushwheel.server.edge.ScriptedEndpoint;
 import org.junit.jupiter.api.AfterEach;
@@ -16,11 +18,16 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 @Timeout(40)
 class HttpCallerTest {
+    private static final String REQUEST_ID = "Bulrushwheel-Request-Id";
+    private static final int PAUSE_MILLIS = 50;
+
     private ServerSocket server;
 
     @BeforeEach
@@ -85,8 +92,53 @@
         }
     }
 
+    /** Guards against a stray response, or a part of one, that is taken for or joined with the answer to the next call. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK|Content-Length: 5||stray", "HTTP/1.1 200 OK|X: ", "HTTP/1.1 2", "|"})
+    void strayBytesAreNotTakenForTheNextAnswer(String stray) throws Exception {
+        AtomicInteger received = new AtomicInteger();
+        try (ScriptedEndpoint endpoint = new ScriptedEndpoint((request, connection) -> {
+            connection.send(MalformedHead.soundResponse("a" + received.incrementAndGet()));
+            if (received.get() == 1) {
+                Thread.sleep(PAUSE_MILLIS);
+                connection.send(stray.replace("|", "\r\n"));
+            }
+        })) {
+            HttpCaller caller = new HttpCaller();
+            assertEquals(
+                    "a1", caller.get(endpoint.address(), "/").header(REQUEST_ID).orElse("none"));
+            Thread.sleep(4 * PAUSE_MILLIS);
+            HttpAnswer answer = caller.get(endpoint.address(), "/");
+            assertEquals("a2", answer.header(REQUEST_ID).orElse("none"), answer.text());
+            assertEquals("whole", answer.text());
+        }
+    }
+
+    /** Guards against a change that is sent twice, and a read that fails, since a kept connection was closed. */
+    @ParameterizedTest
+    @CsvSource({"GET, 200, 3", "HEAD, 200, 3", "POST, 0, 2", "PUT, 0, 2"})
+    void onlyReadsAreSentAgainWhenAKeptConnectionIsClosed(String method, int expectedStatus, int expectedRequests)
+            throws IOException {
+        AtomicInteger received = new AtomicInteger();
+        try (ScriptedEndpoint endpoint = new ScriptedEndpoint((request, connection) -> {
+            if (received.incrementAndGet() == 2) {
+                connection.socket().close();
+            } else {
+                connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            }
+        })) {
+            HttpCaller caller = new HttpCaller();
+            assertEquals(200, caller.get(endpoint.address(), "/").status());
+            HttpAnswer answer = caller.call(method, endpoint.address(), "/", Map.of(), new byte[0]);
+            assertEquals(expectedStatus, answer.status(), answer.text());
+            assertEquals(expectedRequests, received.get());
+        }
+    }
+
     private void answer(String head, String chunk, int partBytes, int pauseMillis) {
         try (Socket socket = server.accept()) {
+            // What is sent before the request ends the connection.
+            assertTrue(socket.getInputStream().read() >= 0);
             OutputStream output = socket.getOutputStream();
             output.write(head.getBytes(StandardCharsets.US_ASCII));
             while (true) {
