Let a stand-in that crashes stop listening before its connection is reset

Cause: the test's endpoint, not the product. ServerSocket.close() returns while the thread in accept() still holds the listening socket, so a connection that was made right after the reset was accepted and kept open. The instance checks for 500 ms whether an endpoint that broke a connection still accepts one, and rightly found that this one had survived. Ruled out: load as the cause, since it happens on an idle machine as well; another process on the same port, since the survivor named in the record is the endpoint that had crashed.

Change: crash() waits until the accepting thread has ended before it resets the connection, as the end of a process does. What CrashingRequestTest asks for is unchanged.

--- a/src/test/java/org/bulrushwheel/server/edge/ScriptedEndpoint.java
+++ b/src/test/java/org/bulrushwheel/server/edge/ScriptedEndpoint.java
@@ -31,7 +31,7 @@
     }
 
     /** One connection of a caller. */
-    public record Connection(Socket socket, OutputStream output, ServerSocket listener) {
+    public record Connection(Socket socket, OutputStream output, ScriptedEndpoint endpoint) {
         public void send(String bytes) throws IOException {
             output.write(bytes.getBytes(StandardCharsets.ISO_8859_1));
             output.flush();
@@ -44,8 +44,8 @@
         }
 
         /** Ends like a process that crashes: nothing listens any more, and the connection is reset. */
-        void crash() throws IOException {
-            listener.close();
+        void crash() throws IOException, InterruptedException {
+            endpoint.stopListening();
             reset();
         }
 
@@ -63,6 +63,7 @@
     }
 
     private final ServerSocket listener;
+    private final Thread acceptor;
     private final Script script;
     private final List<Received> received = new CopyOnWriteArrayList<>();
     private final AtomicInteger openConnections = new AtomicInteger();
@@ -71,7 +72,7 @@
     public ScriptedEndpoint(Script script) throws IOException {
         this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         this.script = script;
-        start(this::accept);
+        this.acceptor = start(this::accept);
     }
 
     public static String ok(Received request, String body) {
@@ -108,6 +109,13 @@
         }
     }
 
+    /** Returns when no connection is accepted any more. */
+    private void stopListening() throws IOException, InterruptedException {
+        listener.close();
+        // The port stays open after close() until the thread in accept() has woken up.
+        acceptor.join();
+    }
+
     /** Returns how many connections the other side keeps open. */
     public int openConnections() {
         return openConnections.get();
@@ -124,7 +132,7 @@
 
     private void serveUntilClosed(Socket socket) throws IOException, InterruptedException {
         InputStream input = new BufferedInputStream(socket.getInputStream());
-        Connection connection = new Connection(socket, socket.getOutputStream(), listener);
+        Connection connection = new Connection(socket, socket.getOutputStream(), this);
         while (!socket.isClosed()) {
             String line = readLine(input);
             if (line.isEmpty()) {
@@ -160,7 +168,7 @@
         void run() throws IOException, InterruptedException;
     }
 
-    private static void start(IoTask task) {
+    private static Thread start(IoTask task) {
         Thread thread = new Thread(() -> {
             try {
                 task.run();
@@ -172,5 +180,6 @@
         });
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 }
