Judge a response's length by its whole value

HeadSyntax keeps 64 characters of a field value. A length followed by more than 60 blanks and other bytes was judged by its beginning and passed the rule; a length behind more than 64 blanks, which is sound, was judged by blanks alone and counted as malformed.

Callers got none of the first: the decoders behind the rule refused all three shapes at entry instances, at the gateway and in HttpCaller. The gateway did not count them as malformed. What callers got for the second was not run; by reading, 502.

Change: blanks before a value are not kept, and a value that was cut is no length and no coding.

--- a/src/main/java/org/bulrushwheel/logic/response/HeadSyntax.java
+++ b/src/main/java/org/bulrushwheel/logic/response/HeadSyntax.java
@@ -53,7 +53,7 @@
     private static final String CHUNKED = "chunked";
     private static final Set<String> BODILESS_STATUSES = Set.of("204", "304");
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
-    // No name or value that decides about the framing is longer.
+    // No name or value that decides about the framing is longer, without the blanks around it.
     private static final int MAX_KEPT_CHARACTERS = 64;
     private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
 
@@ -63,6 +63,7 @@
     private State state = State.STATUS;
     private Part part = Part.STATUS_LINE;
     private int lineIndex;
+    private boolean valueCut;
     private boolean hasLength;
     private boolean chunked;
 
@@ -148,20 +149,31 @@
         } else if ((octet < ' ' && octet != '\t') || octet == DELETE) {
             state = State.MALFORMED;
         } else {
-            keep(octet, fieldValue);
+            keepOfValue(octet);
         }
     }
 
+    private void keepOfValue(int octet) {
+        boolean blank = octet == ' ' || octet == '\t';
+        if (blank && fieldValue.isEmpty()) {
+            return;
+        }
+        valueCut |= !blank && fieldValue.length() == MAX_KEPT_CHARACTERS;
+        keep(octet, fieldValue);
+    }
+
     private void onField() {
         String name = fieldName.toString();
         if (name.equalsIgnoreCase(LENGTH_NAME)) {
             // Readers understand several lengths, and one that is no number, differently.
-            if (hasLength || !LENGTH.matcher(fieldValue.toString().strip()).matches()) {
+            if (hasLength
+                    || valueCut
+                    || !LENGTH.matcher(fieldValue.toString().strip()).matches()) {
                 state = State.MALFORMED;
             }
             hasLength = true;
         } else if (name.equalsIgnoreCase(CODING_NAME)) {
-            chunked = fieldValue.toString().strip().equalsIgnoreCase(CHUNKED);
+            chunked = !valueCut && fieldValue.toString().strip().equalsIgnoreCase(CHUNKED);
         }
     }
 
@@ -180,6 +192,7 @@
         } else {
             fieldName.setLength(0);
             fieldValue.setLength(0);
+            valueCut = false;
             state = State.NAME;
             onName(octet);
         }
--- a/src/test/java/org/bulrushwheel/logic/response/MalformedHead.java
+++ b/src/test/java/org/bulrushwheel/logic/response/MalformedHead.java
@@ -72,7 +72,10 @@
     LENGTH_WITH_LETTER("Content-Length: 5", "Content-Length: 5x"),
     LENGTH_OF_TWO_NUMBERS("Content-Length: 5", "Content-Length: 3 5"),
     LENGTH_EMPTY("Content-Length: 5", "Content-Length:"),
-    LENGTH_TOO_LARGE("Content-Length: 5", "Content-Length: 99999999999999999999");
+    LENGTH_TOO_LARGE("Content-Length: 5", "Content-Length: 99999999999999999999"),
+    LENGTH_FOLLOWED_BY_WORD_AFTER_BLANKS("Content-Length: 5", "Content-Length: 5" + " ".repeat(70) + "x"),
+    LENGTH_FOLLOWED_BY_NUMBER_AFTER_BLANKS("Content-Length: 5", "Content-Length: 5" + " ".repeat(70) + "3"),
+    LENGTH_FOLLOWED_BY_LIST_AFTER_BLANKS("Content-Length: 5", "Content-Length: 5" + " ".repeat(70) + ", 3");
 
     private final String sound;
     private final String broken;
