Refuse responses whose coding is not exactly chunked

Callers saw: of 14 shapes of Transfer-Encoding (gzip, identity, an unknown one, empty, twice, with a parameter, beside a length), entry instances answered 3 with 200, one of them "gzip, chunked" with the coding gone from the head, and left the caller of 6 waiting; the gateway answered 5 with 200 and let 9 wait for their deadline; HttpCaller took 9, some with the framing of the chunks in the body ("5 whole 0").

Each reader knows an end of such a body of its own: the connection's end, a length beside it, or the chunks. Nothing here undoes a coding or asks for one.

Change: Transfer-Encoding stands once, is chunked, and has no length beside it; else the head is malformed, a failure of its endpoint as before. Several codings and a coding beside a length were refused by entry instances already.

--- a/src/main/java/org/bulrushwheel/logic/response/HeadSyntax.java
+++ b/src/main/java/org/bulrushwheel/logic/response/HeadSyntax.java
@@ -10,8 +10,9 @@
  *
  * <p>Invariants: the result does not depend on how the bytes are divided among calls; an informational head is followed by
  * another one. Lines may end without a carriage return, and the reason phrase may be missing together with the blank before
- * it. Folded lines are malformed, since they can't be told from a field name that begins with a blank, and so is a length
- * other than a single number. Not thread safe: confined to the reader of one connection.
+ * it. Folded lines are malformed, since they can't be told from a field name that begins with a blank. A body is framed by
+ * a single length, by chunks as its only coding, or by the end of the connection; what a head says besides is malformed.
+ * Not thread safe: confined to the reader of one connection.
  */
 public final class HeadSyntax {
     /** A part of a head that can be malformed. */
@@ -164,16 +165,20 @@
 
     private void onField() {
         String name = fieldName.toString();
+        String value = fieldValue.toString().strip();
         if (name.equalsIgnoreCase(LENGTH_NAME)) {
-            // Readers understand several lengths, and one that is no number, differently.
-            if (hasLength
-                    || valueCut
-                    || !LENGTH.matcher(fieldValue.toString().strip()).matches()) {
-                state = State.MALFORMED;
-            }
+            checkFraming(LENGTH.matcher(value).matches());
             hasLength = true;
         } else if (name.equalsIgnoreCase(CODING_NAME)) {
-            chunked = !valueCut && fieldValue.toString().strip().equalsIgnoreCase(CHUNKED);
+            checkFraming(value.equalsIgnoreCase(CHUNKED));
+            chunked = true;
+        }
+    }
+
+    private void checkFraming(boolean isKnown) {
+        // Readers disagree on where a body ends whose framing is given twice, or in a form that they don't know.
+        if (!isKnown || valueCut || hasLength || chunked) {
+            state = State.MALFORMED;
         }
     }
 
--- a/src/test/java/org/bulrushwheel/logic/response/HeadSyntaxTest.java
+++ b/src/test/java/org/bulrushwheel/logic/response/HeadSyntaxTest.java
@@ -64,6 +64,8 @@
                 "HTTP/1.1 200 OK\r\nA: \r\nB:\t a \tb:c \u00e9\u0080\u00ff\r\n\r\n",
                 "HTTP/1.1 200 OK\r\nCONTENT-length:\t000000000000000005 \r\n\r\n",
                 "HTTP/1.1 200 OK\r\nContent-Length:%BLANKS%5%BLANKS%\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nTRANSFER-encoding:%BLANKS%Chunked%BLANKS%\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nTE: gzip\r\nX-Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n",
                 "HTTP/1.1 200 OK\r\nContent-Lengths: 5x\r\nX-Content-Length: +5\r\nContent-Length: 0\n\n",
                 "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
                 "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"
--- a/src/test/java/org/bulrushwheel/logic/response/MalformedHead.java
+++ b/src/test/java/org/bulrushwheel/logic/response/MalformedHead.java
@@ -75,7 +75,24 @@
     LENGTH_TOO_LARGE("Content-Length: 5", "Content-Length: 99999999999999999999"),
     LENGTH_FOLLOWED_BY_WORD_AFTER_BLANKS("Content-Length: 5", "Content-Length: 5" + " ".repeat(70) + "x"),
     LENGTH_FOLLOWED_BY_NUMBER_AFTER_BLANKS("Content-Length: 5", "Content-Length: 5" + " ".repeat(70) + "3"),
-    LENGTH_FOLLOWED_BY_LIST_AFTER_BLANKS("Content-Length: 5", "Content-Length: 5" + " ".repeat(70) + ", 3");
+    LENGTH_FOLLOWED_BY_LIST_AFTER_BLANKS("Content-Length: 5", "Content-Length: 5" + " ".repeat(70) + ", 3"),
+
+    CODING_NOT_ASKED_FOR("Transfer-Encoding: gzip, chunked"),
+    CODING_UNKNOWN("Transfer-Encoding: x-chunked"),
+    CODING_EMPTY("Transfer-Encoding:"),
+    CODING_IDENTITY("Transfer-Encoding: identity"),
+    CODING_IDENTITY_WITH_LENGTH("Content-Length: 5", "Transfer-Encoding: identity\r\nContent-Length: 5"),
+    CODING_NOT_ASKED_FOR_WITH_LENGTH("Content-Length: 5", "Transfer-Encoding: gzip\r\nContent-Length: 5"),
+    CODING_CHUNKED_NOT_LAST("Transfer-Encoding: chunked, gzip"),
+    CODING_CHUNKED_TWICE("Transfer-Encoding: chunked, chunked"),
+    CODING_REPEATED("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"),
+    CODING_WITH_PARAMETER("Transfer-Encoding: chunked;a=b"),
+    CODING_BEHIND_NO_BREAK_SPACE("Transfer-Encoding: \u00a0chunked"),
+    CODING_FOLLOWED_BY_WORD_AFTER_BLANKS("Transfer-Encoding: chunked" + " ".repeat(70) + "x"),
+    CODING_AND_LENGTH("Transfer-Encoding: chunked\r\nContent-Length: 5"),
+    CODING_AND_OTHER_LENGTH("Content-Length: 3\r\nTransfer-Encoding: chunked");
+
+    private static final String SOUND_FRAMING = "Content-Length: 5\r\n\r\nwhole";
 
     private final String sound;
     private final String broken;
@@ -85,14 +102,18 @@
         this.broken = broken;
     }
 
+    /** A head that is followed by a body in chunks, whatever its fields say. */
+    MalformedHead(String framing) {
+        this(SOUND_FRAMING, framing + "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n");
+    }
+
     /**
      * Returns a sound response of endpoints.
      *
      * @param requestId ID of its request
      */
     public static String soundResponse(String requestId) {
-        return "HTTP/1.1 200 OK\r\nBulrushwheel-Request-Id: " + requestId
-                + "\r\nNote: sound\r\nContent-Length: 5\r\n\r\nwhole";
+        return "HTTP/1.1 200 OK\r\nBulrushwheel-Request-Id: " + requestId + "\r\nNote: sound\r\n" + SOUND_FRAMING;
     }
 
     @Override
