--- a/src/main/java/org/bulrushwheel/logic/response/ChunkSyntax.java
+++ b/src/main/java/org/bulrushwheel/logic/response/ChunkSyntax.java
@@ -23,7 +23,6 @@
     }
 
     private static final int MAX_SIZE_DIGITS = 15;
-    private static final int DELETE = 0x7f;
     private static final int HEXADECIMAL = 16;
 
     private State state = State.SIZE;
@@ -66,7 +65,7 @@
     private State next(int octet) {
         return switch (state) {
             case SIZE -> afterSizeOctet(octet);
-            case SIZE_PADDING -> octet == ' ' || octet == '\t' ? state : afterSize(octet);
+            case SIZE_PADDING -> Octets.isBlank(octet) ? state : afterSize(octet);
             case EXTENSION -> afterExtensionOctet(octet);
             case SIZE_LINE_END -> octet == '\n' ? afterSizeLine() : State.MALFORMED;
             case DATA_END -> octet == '\r' ? State.DATA_LINE_END : State.MALFORMED;
@@ -85,7 +84,7 @@
         if (sizeDigits == 0) {
             return State.MALFORMED;
         }
-        return octet == ' ' || octet == '\t' ? State.SIZE_PADDING : afterSize(octet);
+        return Octets.isBlank(octet) ? State.SIZE_PADDING : afterSize(octet);
     }
 
     private static State afterSize(int octet) {
@@ -100,7 +99,7 @@
         if (octet == '\r') {
             return State.SIZE_LINE_END;
         }
-        return (octet < ' ' && octet != '\t') || octet == DELETE ? State.MALFORMED : State.EXTENSION;
+        return Octets.isText(octet) ? State.EXTENSION : State.MALFORMED;
     }
 
     private State afterSizeLine() {
--- a/src/main/java/org/bulrushwheel/logic/response/HeadSyntax.java
+++ b/src/main/java/org/bulrushwheel/logic/response/HeadSyntax.java
@@ -48,7 +48,6 @@
     private static final int MINOR_VERSION_INDEX = STATUS_PREFIX.length();
     private static final int STATUS_CLASS_INDEX = MINOR_VERSION_INDEX + 2;
     private static final int STATUS_END_INDEX = STATUS_CLASS_INDEX + 3;
-    private static final int DELETE = 0x7f;
     private static final String LENGTH_NAME = "content-length";
     private static final String CODING_NAME = "transfer-encoding";
     private static final String CHUNKED = "chunked";
@@ -56,7 +55,6 @@
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
     // No name or value that decides about the framing is longer, without the blanks around it.
     private static final int MAX_KEPT_CHARACTERS = 64;
-    private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
 
     private final StringBuilder status = new StringBuilder();
     private final StringBuilder fieldName = new StringBuilder();
@@ -138,7 +136,7 @@
         if (lineIndex < STATUS_CLASS_INDEX) {
             return octet == ' ';
         }
-        return lineIndex == STATUS_CLASS_INDEX ? octet >= '1' && octet <= '5' : isDigit(octet);
+        return lineIndex == STATUS_CLASS_INDEX ? octet >= '1' && octet <= '5' : Octets.isDigit(octet);
     }
 
     private void onText(int octet) {
@@ -147,15 +145,15 @@
             if (part == Part.FIELD_VALUE) {
                 onField();
             }
-        } else if ((octet < ' ' && octet != '\t') || octet == DELETE) {
-            state = State.MALFORMED;
-        } else {
+        } else if (Octets.isText(octet)) {
             keepOfValue(octet);
+        } else {
+            state = State.MALFORMED;
         }
     }
 
     private void keepOfValue(int octet) {
-        boolean blank = octet == ' ' || octet == '\t';
+        boolean blank = Octets.isBlank(octet);
         if (blank && fieldValue.isEmpty()) {
             return;
         }
@@ -207,7 +205,7 @@
         if (octet == ':' && !fieldName.isEmpty()) {
             part = Part.FIELD_VALUE;
             state = State.TEXT;
-        } else if (isTokenOctet(octet)) {
+        } else if (Octets.isToken(octet)) {
             keep(octet, fieldName);
         } else {
             state = State.MALFORMED;
@@ -222,15 +220,4 @@
         begin();
         return state;
     }
-
-    private static boolean isDigit(int octet) {
-        return octet >= '0' && octet <= '9';
-    }
-
-    private static boolean isTokenOctet(int octet) {
-        return isDigit(octet)
-                || (octet >= 'a' && octet <= 'z')
-                || (octet >= 'A' && octet <= 'Z')
-                || TOKEN_PUNCTUATION.indexOf(octet) >= 0;
-    }
 }
