--- a/src/test/java/org/bulrushwheel/server/gateway/GatewayMalformedResponseTest.java
+++ b/src/test/java/org/bulrushwheel/server/gateway/GatewayMalformedResponseTest.java
@@ -2,13 +2,10 @@
 
 import java.io.IOException;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 
 import org.bulrushwheel.client.HttpAnswer;
-import org.bulrushwheel.logic.response.MalformedChunks;
-import org.bulrushwheel.logic.response.MalformedHead;
 import org.bulrushwheel.logic.response.MalformedShape;
+import org.bulrushwheel.server.edge.MalformedResponses;
 import org.bulrushwheel.server.edge.ScriptedEndpoint;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -25,12 +22,9 @@
 @Timeout(60)
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class GatewayMalformedResponseTest {
-    private static final int CLOSED_WITHIN_MILLIS = 5_000;
     private static final int SOUND_REQUESTS = 10;
-    private static final int PAUSE_MILLIS = 200;
 
-    private final Map<String, AtomicInteger> receivedByLine = new ConcurrentHashMap<>();
-    private final AtomicInteger closed = new AtomicInteger();
+    private final MalformedResponses responses = new MalformedResponses();
     private GatewayFixture gateway;
     private ScriptedEndpoint first;
     private ScriptedEndpoint second;
@@ -38,8 +32,8 @@
     @BeforeAll
     void start() throws IOException {
         gateway = new GatewayFixture();
-        first = new ScriptedEndpoint(this::answer);
-        second = new ScriptedEndpoint(this::answer);
+        first = new ScriptedEndpoint(responses);
+        second = new ScriptedEndpoint(responses);
         gateway.announce("first", first);
         gateway.awaitReceived(first, () -> gateway.get("/sound"));
         gateway.announce("second", second);
@@ -52,55 +46,11 @@
         gateway.close();
     }
 
-    /** The first request of a path that ends with the name of a shape gets a malformed response. */
-    private void answer(ScriptedEndpoint.Received request, ScriptedEndpoint.Connection connection) throws IOException {
-        String id = request.header("Bulrushwheel-Request-Id");
-        String path = request.line().split(" ")[1];
-        String name = path.substring(path.lastIndexOf('/') + 1);
-        int before = receivedByLine
-                .computeIfAbsent(request.line(), line -> new AtomicInteger())
-                .getAndIncrement();
-        if (name.equals("sound") || before > 0) {
-            connection.send(MalformedHead.soundResponse(id));
-            return;
-        }
-        if (name.equals("trailer")) {
-            connection.send(MalformedChunks.chunkedHead(id) + "5\r\nwhole\r\n0\r\nNo te: sound\r\n\r\n");
-            return;
-        }
-        if (name.equals("late")) {
-            connection.send(MalformedChunks.chunkedHead(id) + "5\r\nwhole\r\n");
-            pause();
-            connection.send("1\r\nxyz\r\n0\r\n\r\n");
-            return;
-        }
-        connection.send(MalformedShape.named(name).response(id));
-        if (connection.isClosedWithin(CLOSED_WITHIN_MILLIS)) {
-            closed.incrementAndGet();
-        }
-    }
-
-    private static void pause() {
-        try {
-            Thread.sleep(PAUSE_MILLIS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    private int received(String method, String path) {
-        return receivedByLine.entrySet().stream()
-                .filter(each ->
-                        each.getKey().startsWith(method + " ") && each.getKey().contains(path + " "))
-                .mapToInt(each -> each.getValue().get())
-                .sum();
-    }
-
     /** Guards against a malformed response that its caller gets, and against a second run of its request. */
     @ParameterizedTest
     @MethodSource("org.bulrushwheel.logic.response.MalformedShape#all")
     void requestThatRunsOnceEndsWith502(MalformedShape shape) {
-        int closedBefore = closed.get();
+        int closedBefore = responses.closed();
         long droppedBefore = gateway.counter("gateway.responses.dropped.malformed");
         String path = "/refunds/" + shape;
         Map<String, String> key = Map.of("Idempotency-Key", shape.name());
@@ -108,18 +58,18 @@
         assertEquals(502, answer.status(), answer.text());
         assertEquals("upstream-failed", answer.header("Bulrushwheel-Refusal").orElse("none"));
         assertEquals("unknown", answer.header("Bulrushwheel-Run-State").orElse("none"));
-        GatewayFixture.await(() -> closed.get() == closedBefore + 1);
+        GatewayFixture.await(() -> responses.closed() == closedBefore + 1);
         assertEquals(droppedBefore + 1, gateway.counter("gateway.responses.dropped.malformed"));
         HttpAnswer repeated = gateway.call("POST", path, key, new byte[] {1});
         assertEquals("unknown", repeated.header("Bulrushwheel-Run-State").orElse("none"), repeated.text());
-        assertEquals(1, received("POST", path));
+        assertEquals(1, responses.received("POST", path));
     }
 
     /** Guards against a repeatable request that is not retried, or is suspected of crashing endpoints. */
     @ParameterizedTest
     @MethodSource("org.bulrushwheel.logic.response.MalformedShape#all")
     void repeatableRequestIsRetried(MalformedShape shape) {
-        int closedBefore = closed.get();
+        int closedBefore = responses.closed();
         String path = "/items/" + shape;
         for (int index = 0; index < SOUND_REQUESTS; index++) {
             assertEquals("whole", gateway.get("/sound").text());
@@ -127,8 +77,8 @@
         HttpAnswer answer = gateway.get(path);
         assertEquals(200, answer.status(), answer.text());
         assertEquals("whole", answer.text());
-        assertEquals(2, received("GET", path));
-        GatewayFixture.await(() -> closed.get() == closedBefore + 1);
+        assertEquals(2, responses.received("GET", path));
+        GatewayFixture.await(() -> responses.closed() == closedBefore + 1);
     }
 
     /** Guards against a response that looks whole although its chunks break behind its beginning. */
