Print the decisions when a stop answers otherwise than expected

EdgeServerStopTest row 8 failed once beside load (503 instead of 200), and its message could not tell why: too long an estimate, a late arrival, or no free endpoint.

--- a/src/test/java/org/bulrushwheel/server/edge/EdgeServerStopTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/EdgeServerStopTest.java
@@ -71,7 +71,7 @@
             send(caller, path + workMillis);
             String answer = EdgeFixture.readAll(caller.getInputStream());
             boolean refused = expectedStatus == 503;
-            assertTrue(answer.startsWith("HTTP/1.1 " + expectedStatus), answer);
+            assertTrue(answer.startsWith("HTTP/1.1 " + expectedStatus), () -> answer + edge.decisions());
             assertTrue(answer.toLowerCase().contains("connection: close"), answer);
             assertEquals(refused, answer.toLowerCase().contains("retry-after: 0."), answer);
             assertEquals(receivedBefore + (refused ? 0 : 1), endpoint.received().size());
