Read the answers to the load of measure by the same rule

measure counted malformed responses as successes: OpenLoopLoad read with the Java library, which knows none of decision 22.

Change: HttpCaller has callAsync, on which call is built, and OpenLoopLoad counts what it answers. The deadline of a call is kept by its connection. An interrupted call closes its connection as before; that has a test now.

The figures of measure were not taken again; those in docs/CAPACITY.md are from the earlier load.

--- a/src/main/java/org/bulrushwheel/client/CallConnection.java
+++ b/src/main/java/org/bulrushwheel/client/CallConnection.java
@@ -6,6 +6,9 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBufUtil;
@@ -66,12 +69,20 @@
     /**
      * Sends a request.
      *
-     * @param answer completed with the response, or with a {@link KeptConnectionClosedException} if the connection had
-     *     carried a call and was closed, or with another reason why there is none
+     * @param deadlineNanos reading of {@link System#nanoTime} at which the call ends without a response
+     * @return completed with the response, or with a {@link KeptConnectionClosedException} if the connection had carried a
+     *     call and was closed, a {@link TimeoutException} at the deadline, or another reason why there is none
      */
-    void send(FullHttpRequest request, CompletableFuture<HttpAnswer> answer) {
+    CompletableFuture<HttpAnswer> send(FullHttpRequest request, long deadlineNanos) {
+        CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
         channel.eventLoop().execute(() -> {
             pending = answer;
+            Future<?> timeout = channel.eventLoop()
+                    .schedule(
+                            () -> fail(new TimeoutException()),
+                            deadlineNanos - System.nanoTime(),
+                            TimeUnit.NANOSECONDS);
+            answer.whenComplete((response, failure) -> timeout.cancel(false));
             decoder.setMethod(request.method());
             channel.writeAndFlush(request).addListener(written -> {
                 if (!written.isSuccess()) {
@@ -79,6 +90,7 @@
                 }
             });
         });
+        return answer;
     }
 
     void close() {
--- a/src/main/java/org/bulrushwheel/client/HttpCaller.java
+++ b/src/main/java/org/bulrushwheel/client/HttpCaller.java
@@ -6,11 +6,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
+import java.util.function.Supplier;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
@@ -31,7 +34,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 
 /**
- * Blocking HTTP/1.1 client with fixed time-outs, which keeps its connections.
+ * HTTP/1.1 client with fixed time-outs, which keeps its connections.
  *
  * <p>Invariants: a call ends within its time-out and keeps a response of limited length, whatever is sent; a response that
  * is malformed or incomplete is none; only calls that change nothing are sent again, once, when a kept connection was closed.
@@ -60,31 +63,52 @@
      * @return the response; its status is 0 if none was received
      */
     public HttpAnswer call(String method, String address, String path, Map<String, String> headers, byte[] body) {
-        URI uri = URI.create("http://" + address + path);
-        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
-        Optional<CallConnection> kept = takeKept(uri);
+        CompletableFuture<HttpAnswer> answer = callAsync(method, address, path, headers, body);
         try {
-            if (kept.isPresent()) {
-                try {
-                    return await(kept.get(), request(method, uri, headers, body), deadlineNanos);
-                } catch (ExecutionException e) {
-                    boolean repeatable = REPEATABLE_METHODS.contains(method);
-                    if (!repeatable || !(e.getCause() instanceof KeptConnectionClosedException)) {
-                        throw e;
-                    }
-                }
-            }
-            return await(connect(uri, deadlineNanos), request(method, uri, headers, body), deadlineNanos);
+            return answer.get();
         } catch (ExecutionException e) {
             return HttpAnswer.none(String.valueOf(e.getCause()));
-        } catch (TimeoutException e) {
-            return HttpAnswer.none("no complete response within " + TIMEOUT_MILLIS + " ms");
         } catch (InterruptedException e) {
+            answer.cancel(false);
             Thread.currentThread().interrupt();
             return HttpAnswer.none("interrupted");
         }
     }
 
+    /**
+     * Sends a request without waiting for the response.
+     *
+     * @param method HTTP method
+     * @param address IP:PORT
+     * @param path path and query string
+     * @param headers request headers
+     * @param body request body; an empty array sends none
+     * @return completed with the response, or one of status 0 if none was received; never completed with an exception.
+     *     Cancelling it closes the connection of the call. What depends on it must not block, since it may run on the event
+     *     loop
+     */
+    public CompletableFuture<HttpAnswer> callAsync(
+            String method, String address, String path, Map<String, String> headers, byte[] body) {
+        URI uri = URI.create("http://" + address + path);
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
+        boolean repeatable = REPEATABLE_METHODS.contains(method);
+        CompletableFuture<HttpAnswer> result = new CompletableFuture<>();
+        Function<CallConnection, CompletableFuture<HttpAnswer>> send = connection -> {
+            closeOnCancel(connection, result);
+            return connection.send(request(method, uri, headers, body), deadlineNanos);
+        };
+        Supplier<CompletableFuture<HttpAnswer>> sendOnNew = () -> connect(uri).thenCompose(send);
+        takeKept(uri)
+                .map(kept -> send.apply(kept)
+                        .exceptionallyCompose(failure -> repeatable && failure instanceof KeptConnectionClosedException
+                                ? sendOnNew.get()
+                                : CompletableFuture.failedFuture(failure)))
+                .orElseGet(sendOnNew)
+                .exceptionally(failure -> HttpAnswer.none(textOf(failure)))
+                .thenAccept(result::complete);
+        return result;
+    }
+
     /** Sends a GET request without headers or body. */
     public HttpAnswer get(String address, String path) {
         return call("GET", address, path, Map.of(), new byte[0]);
@@ -103,16 +127,19 @@
         return request;
     }
 
-    private static HttpAnswer await(CallConnection connection, FullHttpRequest request, long deadlineNanos)
-            throws ExecutionException, TimeoutException, InterruptedException {
-        CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
-        connection.send(request, answer);
-        try {
-            return answer.get(deadlineNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
-        } catch (TimeoutException | InterruptedException e) {
-            connection.close();
-            throw e;
-        }
+    private static void closeOnCancel(CallConnection connection, CompletableFuture<HttpAnswer> result) {
+        result.whenComplete((answer, failure) -> {
+            if (result.isCancelled()) {
+                connection.close();
+            }
+        });
+    }
+
+    private static String textOf(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof TimeoutException
+                ? "no complete response within " + TIMEOUT_MILLIS + " ms"
+                : String.valueOf(cause);
     }
 
     private Optional<CallConnection> takeKept(URI uri) {
@@ -128,8 +155,7 @@
         return keptByAuthority.computeIfAbsent(uri.getRawAuthority(), authority -> new ConcurrentLinkedDeque<>());
     }
 
-    private CallConnection connect(URI uri, long deadlineNanos)
-            throws ExecutionException, TimeoutException, InterruptedException {
+    private CompletableFuture<CallConnection> connect(URI uri) {
         CompletableFuture<CallConnection> connection = new CompletableFuture<>();
         new Bootstrap()
                 .group(LOOPS)
@@ -144,7 +170,7 @@
                 })
                 .connect(uri.getHost(), uri.getPort())
                 .addListener((ChannelFutureListener) opened -> onOpened(opened, connection));
-        return connection.get(deadlineNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
+        return connection;
     }
 
     private static void onOpened(ChannelFuture opened, CompletableFuture<CallConnection> connection) {
--- a/src/main/java/org/bulrushwheel/measure/GatewayMeasurement.java
+++ b/src/main/java/org/bulrushwheel/measure/GatewayMeasurement.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 import org.HdrHistogram.Histogram;
+import org.bulrushwheel.client.HttpCaller;
 import org.bulrushwheel.local.LocalDeployment;
 import org.bulrushwheel.local.LocalDeployment.InstancePlan;
 import org.bulrushwheel.standin.StandInBehaviour;
@@ -64,7 +66,9 @@
     private static Run load(String address, String path) {
         OpenLoopLoad load = new OpenLoopLoad();
         long cpuBefore = ProcessCost.cpuNanos();
-        Histogram latencyNanos = load.run(REQUESTS_PER_SECOND, REQUESTS, number -> OpenLoopLoad.get(address, path));
+        HttpCaller caller = new HttpCaller();
+        Histogram latencyNanos = load.run(
+                REQUESTS_PER_SECOND, REQUESTS, number -> caller.callAsync("GET", address, path, Map.of(), new byte[0]));
         return new Run(latencyNanos, (ProcessCost.cpuNanos() - cpuBefore) / (double) REQUESTS, load.failed());
     }
 }
--- a/src/main/java/org/bulrushwheel/measure/OnceMeasurement.java
+++ b/src/main/java/org/bulrushwheel/measure/OnceMeasurement.java
@@ -1,11 +1,15 @@
 package org.bulrushwheel.measure;
 
-import java.net.http.HttpRequest;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import org.HdrHistogram.Histogram;
+import org.bulrushwheel.client.HttpAnswer;
+import org.bulrushwheel.client.HttpCaller;
 import org.bulrushwheel.local.LocalDeployment;
 import org.bulrushwheel.local.LocalDeployment.InstancePlan;
 import org.bulrushwheel.standin.StandInBehaviour;
@@ -21,6 +25,7 @@
     private static final int REPLICAS = 5;
     private static final int SLOTS = 64;
     private static final double NANOS_PER_MILLI = 1e6;
+    private static final HttpCaller CALLER = new HttpCaller();
 
     private OnceMeasurement() {}
 
@@ -51,10 +56,13 @@
         return load;
     }
 
-    private static HttpRequest.Builder post(LocalDeployment deployment, String path, String key) {
-        return OpenLoopLoad.get(deployment.httpAddress(1), path)
-                .header("Idempotency-Key", key)
-                .POST(HttpRequest.BodyPublishers.ofString(key));
+    private static CompletableFuture<HttpAnswer> post(LocalDeployment deployment, String path, String key) {
+        return CALLER.callAsync(
+                "POST",
+                deployment.httpAddress(1),
+                path,
+                Map.of("Idempotency-Key", key),
+                key.getBytes(StandardCharsets.UTF_8));
     }
 
     private static void add(List<Figure> figures, long rate, Histogram without, OpenLoopLoad claimed, long freeFailed) {
--- a/src/main/java/org/bulrushwheel/measure/OpenLoopLoad.java
+++ b/src/main/java/org/bulrushwheel/measure/OpenLoopLoad.java
@@ -1,10 +1,6 @@
 package org.bulrushwheel.measure;
 
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
@@ -12,6 +8,7 @@
 
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
+import org.bulrushwheel.client.HttpAnswer;
 
 /**
  * Sends requests at intended times whatever the answers do, and counts latency from those times.
@@ -20,22 +17,19 @@
  */
 final class OpenLoopLoad {
     private static final int MAX_OUTSTANDING = 2_000;
-    private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
-    private final HttpClient client =
-            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final Histogram latencyNanos = new ConcurrentHistogram(3);
     private final AtomicLong failed = new AtomicLong();
 
-    /** Runs the load; requests are made by their number. */
-    Histogram run(long requestsPerSecond, long count, LongFunction<HttpRequest.Builder> requests) {
+    /** Runs the load; calls are begun by their number. */
+    Histogram run(long requestsPerSecond, long count, LongFunction<CompletableFuture<HttpAnswer>> calls) {
         Semaphore outstanding = new Semaphore(MAX_OUTSTANDING);
         long startNanos = System.nanoTime();
         for (long number = 0; number < count; number++) {
             long intendedNanos = startNanos + number * 1_000_000_000L / requestsPerSecond;
             LockSupport.parkNanos(intendedNanos - System.nanoTime());
             outstanding.acquireUninterruptibly();
-            send(requests.apply(number), intendedNanos, outstanding);
+            count(calls.apply(number), intendedNanos, outstanding);
         }
         outstanding.acquireUninterruptibly(MAX_OUTSTANDING);
         return latencyNanos;
@@ -49,18 +43,13 @@
         return failed.get();
     }
 
-    static HttpRequest.Builder get(String address, String path) {
-        return HttpRequest.newBuilder(URI.create("http://" + address + path));
-    }
-
-    private void send(HttpRequest.Builder request, long intendedNanos, Semaphore outstanding) {
-        client.sendAsync(request.timeout(TIMEOUT).build(), HttpResponse.BodyHandlers.discarding())
-                .whenComplete((answer, error) -> {
-                    latencyNanos.recordValue(Math.max(0, System.nanoTime() - intendedNanos));
-                    if (error != null || answer.statusCode() != 200) {
-                        failed.incrementAndGet();
-                    }
-                    outstanding.release();
-                });
+    private void count(CompletableFuture<HttpAnswer> call, long intendedNanos, Semaphore outstanding) {
+        call.thenAccept(answer -> {
+            latencyNanos.recordValue(Math.max(0, System.nanoTime() - intendedNanos));
+            if (answer.status() != 200) {
+                failed.incrementAndGet();
+            }
+            outstanding.release();
+        });
     }
 }
--- a/src/test/java/org/bulrushwheel/client/HttpCallerTest.java
+++ b/src/test/java/org/bulrushwheel/client/HttpCallerTest.java
@@ -7,6 +7,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.bulrushwheel.logic.response.MalformedHead;
@@ -114,6 +117,32 @@
         }
     }
 
+    /** Guards against a call that is carried out although its caller has given it up. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void interruptedCallClosesItsConnection(boolean kept) throws Exception {
+        CompletableFuture<Boolean> closed = new CompletableFuture<>();
+        CountDownLatch received = new CountDownLatch(1);
+        try (ScriptedEndpoint endpoint = new ScriptedEndpoint((request, connection) -> {
+            if (request.line().contains("/first")) {
+                connection.send(MalformedHead.soundResponse("a1"));
+                return;
+            }
+            received.countDown();
+            closed.complete(connection.isClosedWithin(5_000));
+        })) {
+            HttpCaller caller = new HttpCaller();
+            if (kept) {
+                assertEquals(200, caller.get(endpoint.address(), "/first").status());
+            }
+            Thread thread = new Thread(() -> caller.get(endpoint.address(), "/"));
+            thread.start();
+            assertTrue(received.await(5, TimeUnit.SECONDS));
+            thread.interrupt();
+            assertTrue(closed.get(10, TimeUnit.SECONDS));
+        }
+    }
+
     /** Guards against a change that is sent twice, and a read that fails, since a kept connection was closed. */
     @ParameterizedTest
     @CsvSource({"GET, 200, 3", "HEAD, 200, 3", "POST, 0, 2", "PUT, 0, 2"})
