Refuse chunks of HTTP/1.0 at the gateway too

Entry instances and HttpCaller refused a response of HTTP/1.0 in chunks; the gateway passed its body on with 200. RFC 9112 (6.1) calls that faulty framing.

Cause: the rule left it to the decoders, and only Netty's refuses it.

Change: HeadSyntax knows the version of the status line and takes a coding of HTTP/1.0 for malformed.

--- a/src/main/java/org/bulrushwheel/logic/response/HeadSyntax.java
+++ b/src/main/java/org/bulrushwheel/logic/response/HeadSyntax.java
@@ -62,6 +62,7 @@
     private State state = State.STATUS;
     private Part part = Part.STATUS_LINE;
     private int lineIndex;
+    private boolean earlierVersion;
     private boolean valueCut;
     private boolean hasLength;
     private boolean chunked;
@@ -112,7 +113,9 @@
             if (!isExpectedInStatus(octet)) {
                 state = State.MALFORMED;
             }
-            if (lineIndex >= STATUS_CLASS_INDEX) {
+            if (lineIndex == MINOR_VERSION_INDEX) {
+                earlierVersion = octet == '0';
+            } else if (lineIndex >= STATUS_CLASS_INDEX) {
                 status.append((char) octet);
             }
             lineIndex++;
@@ -168,7 +171,7 @@
             checkFraming(LENGTH.matcher(value).matches());
             hasLength = true;
         } else if (name.equalsIgnoreCase(CODING_NAME)) {
-            checkFraming(value.equalsIgnoreCase(CHUNKED));
+            checkFraming(value.equalsIgnoreCase(CHUNKED) && !earlierVersion);
             chunked = true;
         }
     }
--- a/src/test/java/org/bulrushwheel/logic/response/MalformedHead.java
+++ b/src/test/java/org/bulrushwheel/logic/response/MalformedHead.java
@@ -90,7 +90,13 @@
     CODING_BEHIND_NO_BREAK_SPACE("Transfer-Encoding: \u00a0chunked"),
     CODING_FOLLOWED_BY_WORD_AFTER_BLANKS("Transfer-Encoding: chunked" + " ".repeat(70) + "x"),
     CODING_AND_LENGTH("Transfer-Encoding: chunked\r\nContent-Length: 5"),
-    CODING_AND_OTHER_LENGTH("Content-Length: 3\r\nTransfer-Encoding: chunked");
+    CODING_AND_OTHER_LENGTH("Content-Length: 3\r\nTransfer-Encoding: chunked"),
+    CODING_OF_EARLIER_VERSION("Transfer-Encoding: chunked") {
+        @Override
+        public String response(String requestId) {
+            return super.response(requestId).replace("HTTP/1.1", "HTTP/1.0");
+        }
+    };
 
     private static final String SOUND_FRAMING = "Content-Length: 5\r\n\r\nwhole";
 
