Wait for the stand-in to notice the end of a connection

Cause: the test. The instance had closed the connection; the stand-in counts it as open until the thread that reads it has run.

Change: LeavingEndpointTest and GatewayLeavingTest, which had the same check, give the stand-in a second, less than either side keeps an idle connection.

--- a/src/test/java/org/bulrushwheel/server/edge/LeavingEndpointTest.java
+++ b/src/test/java/org/bulrushwheel/server/edge/LeavingEndpointTest.java
@@ -19,6 +19,8 @@
 @Timeout(30)
 class LeavingEndpointTest {
     private static final String LEAVING = "Bulrushwheel-Leaving: 1\r\n";
+    // Shorter than idle connections are kept, 3.4 s.
+    private static final int CLOSED_WITHIN_MILLIS = 1_000;
 
     private final EdgeFixture edge = new EdgeFixture();
 
@@ -47,7 +49,7 @@
     /** Guards against requests to an endpoint that has said to this instance that it leaves. */
     @ParameterizedTest
     @ValueSource(strings = {"success", "refusal", "misdirected", "streamed"})
-    void endpointThatSaysThatItLeavesGetsNothingMore(String kind) throws IOException {
+    void endpointThatSaysThatItLeavesGetsNothingMore(String kind) throws Exception {
         edge.serve(1, (request, connection) -> connection.send(answer(request, kind, LEAVING)));
         edge.call("/read/x", "a1");
         // A late heartbeat of the same incarnation changes nothing.
@@ -57,7 +59,7 @@
                         .setSlots(5)));
         assertTrue(edge.call("/read/x", "a2").startsWith("HTTP/1.1 503"));
         assertEquals(1, received(0));
-        assertEquals(0, edge.endpoints().get(0).openConnections());
+        assertEquals(0, edge.endpoints().get(0).openConnectionsAfter(CLOSED_WITHIN_MILLIS), "kept connections");
         edge.update(FleetUpdate.newBuilder()
                 .addEndpoints(EdgeFixture.endpoint("e0", edge.endpoints().get(0)).toBuilder()
                         .setBornEpochMillis(7)));
--- a/src/test/java/org/bulrushwheel/server/edge/ScriptedEndpoint.java
+++ b/src/test/java/org/bulrushwheel/server/edge/ScriptedEndpoint.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Endpoint whose responses are scripted byte by byte by a test. Each connection has its own thread. */
@@ -121,6 +122,18 @@
         return openConnections.get();
     }
 
+    /**
+     * Returns how many connections the other side keeps open, as soon as there are none or after the given time: an end is
+     * counted by a thread that may be late.
+     */
+    public int openConnectionsAfter(int millis) throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (openConnections() > 0 && System.nanoTime() - deadlineNanos < 0) {
+            Thread.sleep(1);
+        }
+        return openConnections();
+    }
+
     private void serve(Socket socket) throws IOException, InterruptedException {
         openConnections.incrementAndGet();
         try {
--- a/src/test/java/org/bulrushwheel/server/gateway/GatewayLeavingTest.java
+++ b/src/test/java/org/bulrushwheel/server/gateway/GatewayLeavingTest.java
@@ -20,6 +20,8 @@
 @Timeout(60)
 class GatewayLeavingTest {
     private static final String LEAVING = "Bulrushwheel-Leaving: 1\r\n";
+    // Shorter than idle connections are kept, 15 s.
+    private static final int CLOSED_WITHIN_MILLIS = 1_000;
     private static final String PAUSE = "Retry-After: 60\r\n";
 
     private GatewayFixture gateway;
@@ -49,7 +51,7 @@
     /** Guards against requests to an endpoint that has said to this instance that it leaves. */
     @ParameterizedTest
     @ValueSource(strings = {"success", "refusal", "unavailable", "streamed"})
-    void endpointThatSaysThatItLeavesGetsNothingMore(String kind) throws IOException {
+    void endpointThatSaysThatItLeavesGetsNothingMore(String kind) throws Exception {
         try (ScriptedEndpoint endpoint =
                 new ScriptedEndpoint((request, connection) -> connection.send(answer(request, kind, LEAVING)))) {
             gateway.announce("e1", endpoint);
@@ -60,7 +62,7 @@
                 assertEquals(503, gateway.get("/items").status());
             }
             assertEquals(1, endpoint.received().size());
-            assertEquals(0, endpoint.openConnections(), "kept connections");
+            assertEquals(0, endpoint.openConnectionsAfter(CLOSED_WITHIN_MILLIS), "kept connections");
             gateway.announce("e1", endpoint, 3, 0);
             gateway.awaitReceived(endpoint, () -> gateway.get("/items"));
             assertEquals(2, endpoint.received().size(), "a new incarnation is used again");
