End cases that fail to run with exit code 2

Cause: an exception in a case ended its process with 1, which means that the rule was broken. Change: one place runs the cases and decides the exit code.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 mkdir -p target/review-2
-javac -d target/review-2 review/harness-2/*.java
+javac --release 17 -d target/review-2 review/harness-2/*.java
--- a/review/harness-2/LargeHistoryCase.java
+++ b/review/harness-2/LargeHistoryCase.java
@@ -1,4 +1,3 @@
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -16,15 +15,8 @@
 
     private LargeHistoryCase() {}
 
-    public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int code;
-        try (Recorder record = new Recorder(Path.of(arguments[0], "record.txt"));
-                Fleet fleet = new Fleet(record)) {
-            code = play(fleet, record, trouble);
-            record.line("exit " + code);
-        }
-        System.exit(code);
+    public static void main(String[] arguments) {
+        Case.run(arguments[0], LargeHistoryCase::play);
     }
 
     private static int play(Fleet fleet, Recorder record, boolean trouble) throws Exception {
@@ -41,7 +33,7 @@
         Operator operator = new Operator(fleet, () -> List.copyOf(current), record);
         if (!operator.order("/api/Config.Replace", Documents.of(1, ROUTES), "r1", 20_000)) {
             record.line("the deployment did not start");
-            return 2;
+            return Case.NOT_RUN;
         }
         Operator.pause(4_000);
         String newest = "";
@@ -49,13 +41,13 @@
             String document = Documents.of(version, ROUTES);
             if (!operator.order("/api/Config.Replace", document, "r" + version, 10_000)) {
                 record.line("r" + version + " was not acknowledged before any disruption");
-                return 2;
+                return Case.NOT_RUN;
             }
             newest = document;
         }
         record.line("newest acknowledged version r" + CHANGES + ", " + newest.length() + " bytes");
         if (!readBack(operator, current, newest, record, 5_000)) {
-            return 2;
+            return Case.NOT_RUN;
         }
         if (trouble) {
             for (int index = 0; index < CONTROLS; index++) {
@@ -75,7 +67,7 @@
             }
         }
         record.line("CONFIG " + (held ? "held" : "broken: the newest acknowledged version isn't read back"));
-        return held ? 0 : 1;
+        return held ? Case.HELD : Case.BROKEN;
     }
 
     /** Notes the machines' own count of frames that they have dropped. */
--- a/review/harness-2/LeadersCase.java
+++ b/review/harness-2/LeadersCase.java
@@ -1,4 +1,3 @@
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -20,15 +19,8 @@
 
     private LeadersCase() {}
 
-    public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int code;
-        try (Recorder record = new Recorder(Path.of(arguments[0], "record.txt"));
-                Fleet fleet = new Fleet(record)) {
-            code = play(fleet, record, trouble);
-            record.line("exit " + code);
-        }
-        System.exit(code);
+    public static void main(String[] arguments) {
+        Case.run(arguments[0], LeadersCase::play);
     }
 
     private static int play(Fleet fleet, Recorder record, boolean trouble) throws Exception {
@@ -44,12 +36,12 @@
         Operator operator = new Operator(fleet, () -> List.copyOf(current), record);
         if (!operator.order("/api/Config.Replace", Documents.of(1, ROUTES), "r1", 20_000)) {
             record.line("the deployment did not start");
-            return 2;
+            return Case.NOT_RUN;
         }
         Operator.pause(5_000);
         String newest = Documents.of(2, ROUTES);
         if (!operator.order("/api/Config.Replace", newest, "r2", 4_000)) {
-            return 2;
+            return Case.NOT_RUN;
         }
         boolean held = true;
         for (int round = 1; trouble && held && round <= REPLACEMENTS; round++) {
@@ -71,7 +63,7 @@
             }
         }
         record.line("CONFIG " + (held ? "held" : "broken: the newest acknowledged version isn't read back"));
-        return held ? 0 : 1;
+        return held ? Case.HELD : Case.BROKEN;
     }
 
     /** The machine that says in its metrics that it leads. */
--- a/review/harness-2/PipelineCase.java
+++ b/review/harness-2/PipelineCase.java
@@ -4,7 +4,6 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -43,15 +42,8 @@
         this.trouble = trouble;
     }
 
-    public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int code;
-        try (Recorder record = new Recorder(Path.of(arguments[0], "record.txt"));
-                Fleet fleet = new Fleet(record)) {
-            code = new PipelineCase(fleet, record, trouble).play();
-            record.line("exit " + code);
-        }
-        System.exit(code);
+    public static void main(String[] arguments) {
+        Case.run(arguments[0], (fleet, record, trouble) -> new PipelineCase(fleet, record, trouble).play());
     }
 
     private int play() throws Exception {
@@ -71,7 +63,7 @@
         }
         Operator operator = new Operator(fleet, () -> controls, record);
         if (!operator.order("/api/Config.Replace", document(), "r1", 20_000)) {
-            return 2;
+            return Case.NOT_RUN;
         }
         List<Endpoint> endpoints = new ArrayList<>();
         for (int index = 0; index < VAULTS; index++) {
@@ -82,7 +74,7 @@
         while (!endpoints.stream().allMatch(Endpoint::isAcknowledged)) {
             if (System.nanoTime() > endNanos) {
                 record.line("not all endpoints were acknowledged");
-                return 2;
+                return Case.NOT_RUN;
             }
             Operator.pause(100);
         }
@@ -108,7 +100,10 @@
         record.line(sent + " requests sent, " + answered + " answered, " + brokenOff + " downloads broken off by endpoints");
         record.line("LOST " + (lost.size() > ALLOWED ? "broken: " : "held: ") + lost.size()
                 + " requests were passed on to a sound endpoint and had their kept connection closed without an answer");
-        return answered.get() == 0 ? 2 : lost.size() > ALLOWED ? 1 : 0;
+        if (answered.get() == 0) {
+            return Case.NOT_RUN;
+        }
+        return lost.size() > ALLOWED ? Case.BROKEN : Case.HELD;
     }
 
     private Endpoint endpoint(String id, String service, List<Fleet.Machine> controls, Endpoint.Work work)
--- a/review/harness-2/StopCase.java
+++ b/review/harness-2/StopCase.java
@@ -2,7 +2,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -35,15 +34,8 @@
         this.record = record;
     }
 
-    public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int code;
-        try (Recorder record = new Recorder(Path.of(arguments[0], "record.txt"));
-                Fleet fleet = new Fleet(record)) {
-            code = new StopCase(fleet, record).play(trouble);
-            record.line("exit " + code);
-        }
-        System.exit(code);
+    public static void main(String[] arguments) {
+        Case.run(arguments[0], (fleet, record, trouble) -> new StopCase(fleet, record).play(trouble));
     }
 
     private int play(boolean trouble) throws Exception {
@@ -60,7 +52,7 @@
         }
         Operator operator = new Operator(fleet, () -> controls, record);
         if (!operator.order("/api/Config.Replace", document(), "r1", 20_000)) {
-            return 2;
+            return Case.NOT_RUN;
         }
         List<Endpoint> endpoints = new ArrayList<>();
         for (int index = 0; index < 3; index++) {
@@ -71,7 +63,7 @@
         Operator.pause(8_000);
         if (!endpoints.stream().allMatch(Endpoint::isAcknowledged)) {
             record.line("not all endpoints were acknowledged");
-            return 2;
+            return Case.NOT_RUN;
         }
         Fleet.Machine stopped = entries.get(0);
         List<Thread> clients = new ArrayList<>();
@@ -104,7 +96,7 @@
         record.line("SIGTERM at " + termAt + ", " + answered.size() + " requests answered");
         record.line("LOST " + (lost > 0 ? "broken: " : "held: ") + lost
                 + " requests had been passed on, and their connection ended without a complete answer");
-        return lost > 0 ? 1 : 0;
+        return lost > 0 ? Case.BROKEN : Case.HELD;
     }
 
     private Endpoint endpoint(String id, String service, List<Fleet.Machine> controls, Endpoint.Work work)
--- a/review/harness-2/StormCase.java
+++ b/review/harness-2/StormCase.java
@@ -1,4 +1,3 @@
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
@@ -20,15 +19,8 @@
 
     private StormCase() {}
 
-    public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int code;
-        try (Recorder record = new Recorder(Path.of(arguments[0], "record.txt"));
-                Fleet fleet = new Fleet(record)) {
-            code = play(fleet, record, trouble ? CHANGES : FEW_CHANGES);
-            record.line("exit " + code);
-        }
-        System.exit(code);
+    public static void main(String[] arguments) {
+        Case.run(arguments[0], (fleet, record, trouble) -> play(fleet, record, trouble ? CHANGES : FEW_CHANGES));
     }
 
     private static int play(Fleet fleet, Recorder record, int changes) throws Exception {
@@ -45,7 +37,7 @@
         Operator operator = new Operator(fleet, () -> controls, record, true);
         if (!operator.order("/api/Config.Replace", document(1), "r1", 20_000)) {
             record.line("the deployment did not start");
-            return 2;
+            return Case.NOT_RUN;
         }
         Operator.pause(4_000);
         int acknowledged = 1;
@@ -76,7 +68,7 @@
             record.line(machine.name + (fleet.isRunning(machine) ? " is running" : " has ended by itself"));
         }
         record.line("CONFIG " + (held ? "held" : "broken: the newest acknowledged version isn't read back"));
-        return held ? 0 : 1;
+        return held ? Case.HELD : Case.BROKEN;
     }
 
     /** Reads at all machines again and again; whether one has returned the newest acknowledged version or a later one. */
