Tell frames that are too long from frames that a peer does not read

Count such frames as peers.frames.too-long, and log the first of each connection with its kind, its size and the limit.

--- a/src/main/java/org/bulrushwheel/wire/FrameWriter.java
+++ b/src/main/java/org/bulrushwheel/wire/FrameWriter.java
@@ -6,6 +6,8 @@
 import io.netty.channel.ChannelPromise;
 import org.bulrushwheel.kernel.ByteBudget;
 import org.bulrushwheel.model.proto.Frame;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Drops frames for a peer that does not read: a frame may be lost anyway, and whoever sent it sends it again.
@@ -17,11 +19,13 @@
     /** Bytes of each connection that need no reservation, so that small frames are sent when the budget is spent. */
     static final int FREE_BYTES = 16 * 1024;
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(FrameWriter.class);
     private static final int CONNECTIONS_PER_BUDGET = 4;
 
     private final ByteBudget budget;
     private final MetricRegistry metrics;
     private long pendingBytes;
+    private boolean tooLongLogged;
 
     FrameWriter(ByteBudget budget, MetricRegistry metrics) {
         this.budget = budget;
@@ -44,7 +48,11 @@
         boolean fits = isFree
                 || pendingBytes + bytes <= budget.limitBytes() / CONNECTIONS_PER_BUDGET && budget.tryReserve(bytes);
         if (!fits) {
-            metrics.counter("peers.frames.unread").inc();
+            if (bytes > budget.limitBytes() / CONNECTIONS_PER_BUDGET) {
+                onTooLong(context, frame, bytes);
+            } else {
+                metrics.counter("peers.frames.unread").inc();
+            }
             if (!promise.isVoid()) {
                 promise.tryFailure(new PeerUnreachableException(
                         String.valueOf(context.channel().remoteAddress())));
@@ -59,4 +67,19 @@
             }
         });
     }
+
+    /** Such a frame is lost each time it is sent, whether the peer reads or not; logged once for each connection. */
+    private void onTooLong(ChannelHandlerContext context, Frame frame, int bytes) {
+        metrics.counter("peers.frames.too-long").inc();
+        if (!tooLongLogged) {
+            tooLongLogged = true;
+            LOGGER.error(
+                    "frame dropped, longer than a connection may hold kind={} bytes={} limitBytes={} peer={};"
+                            + " give the process more heap (-Xmx)",
+                    frame.getBodyCase(),
+                    bytes,
+                    budget.limitBytes() / CONNECTIONS_PER_BUDGET,
+                    context.channel().remoteAddress());
+        }
+    }
 }
