--- a/src/main/java/org/bulrushwheel/logic/raft/RaftLog.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/RaftLog.java
@@ -55,6 +55,11 @@
         return Optional.of(at(index).getTerm());
     }
 
+    /** Whether the log has the entry of this term at the index, and so all entries before it, as its leader had them. */
+    boolean contains(long index, long term) {
+        return termAt(index).equals(Optional.of(term));
+    }
+
     LogEntry at(long index) {
         return entries.get((int) (index - baseIndex - 1));
     }
--- a/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
@@ -377,9 +377,7 @@
         if (previous < commitIndex) {
             // Entries up to the commit index already match; the leader continues from there.
             response.setSuccess(true).setMatchIndex(commitIndex);
-        } else if (log.termAt(previous)
-                .filter(term -> term == request.getPreviousTerm())
-                .isEmpty()) {
+        } else if (!log.contains(previous, request.getPreviousTerm())) {
             response.setSuccess(false).setMatchIndex(Math.min(commitIndex, previous - 1));
         } else {
             appendAsFollower(request.getEntriesList());
@@ -420,7 +418,10 @@
     private void onInstallSnapshot(RaftMessage message) {
         recordLeaderContact(message.getFrom());
         SnapshotFile snapshot = message.getInstallSnapshot().getSnapshot();
-        if (snapshot.getLastIndex() > commitIndex) {
+        if (log.contains(snapshot.getLastIndex(), snapshot.getLastTerm())) {
+            // The entries behind it may have been acknowledged, and are never sent again.
+            commitIndex = Math.max(commitIndex, snapshot.getLastIndex());
+        } else if (snapshot.getLastIndex() > commitIndex) {
             log.reset(snapshot);
             commitIndex = snapshot.getLastIndex();
             deliveredIndex = commitIndex;
--- a/src/test/java/org/bulrushwheel/logic/raft/RaftNodeTest.java
+++ b/src/test/java/org/bulrushwheel/logic/raft/RaftNodeTest.java
@@ -9,15 +9,21 @@
 
 import org.bulrushwheel.local.TestConfigurations;
 import org.bulrushwheel.model.proto.AcceptConfiguration;
+import org.bulrushwheel.model.proto.AppendRequest;
 import org.bulrushwheel.model.proto.ClaimKey;
 import org.bulrushwheel.model.proto.Command;
 import org.bulrushwheel.model.proto.CommandResult;
 import org.bulrushwheel.model.proto.CommandResult.Kind;
+import org.bulrushwheel.model.proto.InstallSnapshot;
+import org.bulrushwheel.model.proto.LogEntry;
+import org.bulrushwheel.model.proto.Noop;
 import org.bulrushwheel.model.proto.RaftMessage;
+import org.bulrushwheel.model.proto.SnapshotFile;
 import org.bulrushwheel.model.proto.VoteRequest;
 import org.bulrushwheel.model.proto.Voters;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -143,6 +149,50 @@
         assertEquals(leader.state.snapshot(), down.state.snapshot());
     }
 
+    /**
+     * Guards against acknowledged entries that are lost, so that a commit may be lost with them and the leader never sends
+     * them again: a snapshot that arrives late discarded what the log had beyond it.
+     */
+    @ParameterizedTest
+    @CsvSource({"true, 5, 5", "false, 3, 3"})
+    void lateSnapshotKeepsAcknowledgedEntries(boolean isOfSameLog, long expectedLast, long expectedCommit) {
+        String leader = "r1#1";
+        RaftCluster.Replica follower = new RaftCluster(13, 3).replicas.get("r2#1");
+        AppendRequest.Builder append = AppendRequest.newBuilder().setCommitIndex(2);
+        for (long index = 1; index <= 5; index++) {
+            append.addEntries(LogEntry.newBuilder()
+                    .setTerm(1)
+                    .setIndex(index)
+                    .setCommand(Command.newBuilder().setNoop(Noop.getDefaultInstance())));
+        }
+        RaftMessage.Builder fromLeader =
+                RaftMessage.newBuilder().setFrom(leader).setTo(follower.id).setTerm(2);
+        follower.node.step(fromLeader.setAppendRequest(append).build());
+        follower.processReady(false, false);
+        follower.node.step(fromLeader
+                .setInstallSnapshot(InstallSnapshot.newBuilder()
+                        .setSnapshot(SnapshotFile.newBuilder()
+                                .setLastIndex(3)
+                                .setLastTerm(isOfSameLog ? 1 : 2)
+                                .setVoters(follower.node.voters())))
+                .build());
+        follower.processReady(false, false);
+        follower.node.step(fromLeader
+                .setAppendRequest(AppendRequest.newBuilder()
+                        .setPreviousIndex(expectedLast)
+                        .setPreviousTerm(isOfSameLog ? 1 : 2)
+                        .setCommitIndex(expectedCommit))
+                .build());
+        follower.processReady(false, false);
+
+        assertEquals(expectedLast, follower.node.lastIndex());
+        assertEquals(expectedCommit, follower.node.commitIndex());
+        assertEquals(expectedCommit, follower.applied);
+        follower.crash();
+        follower.start();
+        assertEquals(expectedLast, follower.node.lastIndex());
+    }
+
     /** Guards against replicas that never become voters again after they were removed as lost. */
     @ParameterizedTest
     @ValueSource(longs = {61, 62, 63, 64, 65, 66, 67, 68})
