Bring replicas up to date behind a log of any length

Cause: an append held up to 256 entries of any size.

- An append holds at most 512 KiB of entries, or a single longer one.
- A leader sends a peer more entries only while less than 1 MiB of them is not acknowledged, and goes back once a round after a loss, instead of once for each message that was on its way.
- A connection with nothing but small frames waiting takes any frame that the peer accepts; the quarter holds for frames behind another one.

--- a/src/main/java/org/bulrushwheel/logic/raft/RaftLog.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/RaftLog.java
@@ -64,10 +64,19 @@
         return entries.get((int) (index - baseIndex - 1));
     }
 
-    /** Returns up to {@code maxEntries} entries, starting at the index. */
-    List<LogEntry> from(long index, int maxEntries) {
+    /** Returns entries from the index on, up to both limits, but at least one if there is any. */
+    List<LogEntry> from(long index, int maxEntries, long maxBytes) {
         int start = (int) (index - baseIndex - 1);
-        int end = (int) Math.min(entries.size(), (long) start + maxEntries);
+        int limit = (int) Math.min(entries.size(), (long) start + maxEntries);
+        long bytes = 0;
+        int end = start;
+        while (end < limit) {
+            bytes += entries.get(end).getSerializedSize();
+            if (end > start && bytes > maxBytes) {
+                break;
+            }
+            end++;
+        }
         return start >= end ? List.of() : List.copyOf(entries.subList(start, end));
     }
 
--- a/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
@@ -29,8 +29,6 @@
  * calls must come from one thread.
  */
 public final class RaftNode {
-    private static final int MAX_ENTRIES_PER_MESSAGE = 256;
-
     private final String self;
     private final RaftTimings timings;
     private final ElectionTimer electionTimer;
@@ -222,7 +220,7 @@
 
     /** Entries after an index that is not compacted. */
     public List<LogEntry> entriesAfter(long index) {
-        return log.from(index + 1, Integer.MAX_VALUE - 1);
+        return log.from(index + 1, Integer.MAX_VALUE, Long.MAX_VALUE);
     }
 
     /** Term of an entry that is not compacted, or 0. */
@@ -442,10 +440,10 @@
             progress.recordMatch(response.getMatchIndex());
             advanceCommit();
         } else {
-            progress.recordRejection(response.getMatchIndex());
+            progress.recordRejection(response.getMatchIndex(), response.getRound(), round);
         }
         confirmReads();
-        if (progress.nextIndex() <= log.lastIndex() && !broadcastPending) {
+        if (progress.nextIndex() <= log.lastIndex() && progress.hasWindow() && !broadcastPending) {
             sendAppend(message.getFrom());
         }
     }
@@ -472,13 +470,13 @@
             sendSnapshot(peer, progress);
             return;
         }
-        List<LogEntry> entries = log.from(progress.nextIndex(), MAX_ENTRIES_PER_MESSAGE);
+        List<LogEntry> entries = progress.entriesToSend(log);
         outbox.send(message(peer, hardState.getTerm())
                 .setAppendRequest(RaftMessages.appendRequest(previous, previousTerm.get(), entries)
                         .setCommitIndex(commitIndex)
                         .setRound(round))
                 .build());
-        progress.recordSent(previous + entries.size());
+        progress.recordSent(entries);
     }
 
     private void sendSnapshot(String peer, Progress progress) {
--- a/src/main/java/org/bulrushwheel/wire/FrameWriter.java
+++ b/src/main/java/org/bulrushwheel/wire/FrameWriter.java
@@ -12,8 +12,9 @@
 /**
  * Drops frames for a peer that does not read: a frame may be lost anyway, and whoever sent it sends it again.
  *
- * <p>Invariant: the frames of a connection that are not written yet hold at most {@link #FREE_BYTES} that are not reserved
- * from the budget of the process, and at most a quarter of that budget. Not thread safe: confined to its event loop.
+ * <p>Invariants: the frames of a connection that are not written yet hold at most {@link #FREE_BYTES} that are not reserved
+ * from the budget of the process. They hold at most a quarter of that budget, or a single frame that is longer, so that each
+ * frame that a peer accepts can be sent. Not thread safe: confined to its event loop.
  */
 final class FrameWriter extends ChannelOutboundHandlerAdapter {
     /** Bytes of each connection that need no reservation, so that small frames are sent when the budget is spent. */
@@ -45,10 +46,11 @@
         }
         int bytes = FrameCodec.LENGTH_FIELD_BYTES + frame.getSerializedSize();
         boolean isFree = pendingBytes + bytes <= FREE_BYTES;
-        boolean fits = isFree
-                || pendingBytes + bytes <= budget.limitBytes() / CONNECTIONS_PER_BUDGET && budget.tryReserve(bytes);
+        boolean isAlone = pendingBytes <= FREE_BYTES;
+        boolean isWithinShare = pendingBytes + bytes <= budget.limitBytes() / CONNECTIONS_PER_BUDGET;
+        boolean fits = isFree || (isAlone || isWithinShare) && budget.tryReserve(bytes);
         if (!fits) {
-            if (bytes > budget.limitBytes() / CONNECTIONS_PER_BUDGET) {
+            if (bytes > budget.limitBytes()) {
                 onTooLong(context, frame, bytes);
             } else {
                 metrics.counter("peers.frames.unread").inc();
@@ -78,7 +80,7 @@
                             + " give the process more heap (-Xmx)",
                     frame.getBodyCase(),
                     bytes,
-                    budget.limitBytes() / CONNECTIONS_PER_BUDGET,
+                    budget.limitBytes(),
                     context.channel().remoteAddress());
         }
     }
--- a/src/main/java/org/bulrushwheel/wire/PeerNetwork.java
+++ b/src/main/java/org/bulrushwheel/wire/PeerNetwork.java
@@ -97,9 +97,9 @@
         this.listen = listen;
         this.metrics = metrics;
         this.eventLoops = eventLoops;
-        long heldBytes = Math.min(MAX_HELD_BYTES, Runtime.getRuntime().maxMemory() / MEMORY_PER_HELD_FRAMES);
+        long heldBytes = heldBytes(Runtime.getRuntime().maxMemory());
         this.codec = new FrameCodec(
-                (int) Math.min(MAX_FRAME_BYTES, heldBytes),
+                maxFrameBytes(heldBytes),
                 new ReceivedFrames(heldBytes, metrics),
                 new ByteBudget(heldBytes),
                 metrics,
@@ -111,6 +111,16 @@
                 .handler(codec);
     }
 
+    /** Returns the bytes of frames, partial or unwritten, that a process with this much heap may hold. */
+    static long heldBytes(long maxHeapBytes) {
+        return Math.min(MAX_HELD_BYTES, maxHeapBytes / MEMORY_PER_HELD_FRAMES);
+    }
+
+    /** Returns the length of the longest frame that a process which may hold this many bytes accepts. */
+    static int maxFrameBytes(long heldBytes) {
+        return (int) Math.min(MAX_FRAME_BYTES, heldBytes - FrameCodec.LENGTH_FIELD_BYTES);
+    }
+
     @Override
     public String name() {
         return NAME;
--- a/src/test/java/org/bulrushwheel/logic/raft/RaftCluster.java
+++ b/src/test/java/org/bulrushwheel/logic/raft/RaftCluster.java
@@ -35,8 +35,12 @@
     double lossRate;
     double duplicationRate;
     long maxDelayMillis = 10;
+    /** Bytes that may be on their way from one replica to another; like a peer connection, drops messages beyond it. */
+    long maxLinkBytes = Long.MAX_VALUE;
+
     long nowMillis;
     private long sequence;
+    private final Map<String, Long> bytesByLink = new HashMap<>();
     private final PriorityQueue<Delivery> network =
             new PriorityQueue<>(Comparator.comparingLong(Delivery::atMillis).thenComparingLong(Delivery::sequence));
 
@@ -217,11 +221,25 @@
         int copies = random.nextDouble() < duplicationRate ? 2 : 1;
         for (int copy = 0; copy < copies; copy++) {
             long delayMillis = 1 + (long) (random.nextDouble() * maxDelayMillis);
+            long linkBytes = bytesByLink.merge(linkOf(message), (long) message.getSerializedSize(), Long::sum);
+            if (linkBytes > maxLinkBytes) {
+                release(message);
+                continue;
+            }
             network.add(new Delivery(nowMillis + delayMillis, sequence++, message));
         }
     }
 
+    private void release(RaftMessage message) {
+        bytesByLink.merge(linkOf(message), (long) -message.getSerializedSize(), Long::sum);
+    }
+
+    private static String linkOf(RaftMessage message) {
+        return message.getFrom() + ">" + message.getTo();
+    }
+
     private void deliver(RaftMessage message) {
+        release(message);
         Replica target = replicas.get(message.getTo());
         boolean cut = isolated.contains(message.getFrom()) || isolated.contains(message.getTo());
         if (target == null || !target.isUp() || cut) {
