Move the decisions on voters of a leader into logic

ReplicaMembership and two tests each decided whether a joining replica has caught up, and for how long a voter may be silent, so that a test of these decisions tested its own copy of them.

LostVoterRemoval and ReplicaReplacement take the leader's RaftNode now.

--- a/src/main/java/org/bulrushwheel/control/ReplicaMembership.java
+++ b/src/main/java/org/bulrushwheel/control/ReplicaMembership.java
@@ -21,8 +21,6 @@
 final class ReplicaMembership {
     private static final long JOIN_INTERVAL_MILLIS = 500;
     private static final long REMOVAL_INTERVAL_MILLIS = 1_000;
-    // Longer than any restart. A replica that returns later requests to join and reuses its existing log.
-    private static final long LOST_VOTER_MILLIS = 12_000;
 
     private final ReplicaSettings settings;
     private final PeerNetwork peers;
@@ -44,7 +42,6 @@
 
     /** Handles another replica's request to join; a replica that is not the leader forwards it to the leader once. */
     void onJoinRequest(RaftNode raft, JoinRequest request) {
-        String joining = request.getReplica();
         if (raft.role() != RaftRole.LEADER) {
             boolean mayForward = !request.getForwarded();
             raft.leader()
@@ -55,8 +52,7 @@
                                     .setJoinRequest(request.toBuilder().setForwarded(true))));
             return;
         }
-        boolean caughtUp = raft.isInContact(joining) && raft.matchIndexOf(joining) >= raft.commitIndex();
-        ReplicaReplacement.nextChange(raft.voters(), ReplicaId.parse(joining), caughtUp)
+        ReplicaReplacement.nextChange(raft, ReplicaId.parse(request.getReplica()))
                 .ifPresent(raft::proposeVoters);
     }
 
@@ -83,7 +79,6 @@
             return;
         }
         nextRemovalMillis = now + REMOVAL_INTERVAL_MILLIS;
-        LostVoterRemoval.nextChange(raft.voters(), raft.votersUnresponsiveFor(LOST_VOTER_MILLIS))
-                .ifPresent(raft::proposeVoters);
+        LostVoterRemoval.nextChange(raft).ifPresent(raft::proposeVoters);
     }
 }
--- a/src/main/java/org/bulrushwheel/logic/raft/LostVoterRemoval.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/LostVoterRemoval.java
@@ -14,16 +14,23 @@
  */
 public final class LostVoterRemoval {
     private static final int MIN_VOTERS = 3;
+    // Longer than any restart. A replica that returns later requests to join and reuses its existing log.
+    private static final long LOST_VOTER_MILLIS = 12_000;
 
     private LostVoterRemoval() {}
 
+    /** Returns the next removal that a leader is to propose, or empty when none is allowed. */
+    public static Optional<Voters> nextChange(RaftNode leader) {
+        return nextChange(leader.voters(), leader.votersUnresponsiveFor(LOST_VOTER_MILLIS));
+    }
+
     /**
      * Returns the voter set with one unresponsive voter removed, or empty when no removal is allowed.
      *
      * @param voters current voters and learners according to the log
      * @param unresponsive voters that have not responded for longer than the removal timeout
      */
-    public static Optional<Voters> nextChange(Voters voters, List<String> unresponsive) {
+    static Optional<Voters> nextChange(Voters voters, List<String> unresponsive) {
         boolean quorumRemains = voters.getVotersCount() - unresponsive.size() > voters.getVotersCount() / 2;
         if (unresponsive.isEmpty() || !quorumRemains || voters.getVotersCount() <= MIN_VOTERS) {
             return Optional.empty();
--- a/src/main/java/org/bulrushwheel/logic/raft/ReplicaReplacement.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/ReplicaReplacement.java
@@ -23,6 +23,13 @@
         return !raft.voters().getVotersList().contains(replica) || !raft.hasLeaderContact();
     }
 
+    /** Returns the next change that a leader is to propose for a replica that requests to join, or empty if none is due. */
+    public static Optional<Voters> nextChange(RaftNode leader, ReplicaId joining) {
+        String replica = joining.toString();
+        boolean caughtUp = leader.isInContact(replica) && leader.matchIndexOf(replica) >= leader.commitIndex();
+        return nextChange(leader.voters(), joining, caughtUp);
+    }
+
     /**
      * Returns the next change, or empty if no change is due.
      *
@@ -30,7 +37,7 @@
      * @param joining replica that requested to join
      * @param caughtUp whether the log of the joining replica contains all committed entries
      */
-    public static Optional<Voters> nextChange(Voters voters, ReplicaId joining, boolean caughtUp) {
+    private static Optional<Voters> nextChange(Voters voters, ReplicaId joining, boolean caughtUp) {
         String replica = joining.toString();
         if (voters.getVotersList().contains(replica)) {
             return Optional.empty();
--- a/src/test/java/org/bulrushwheel/logic/raft/RaftNodeTest.java
+++ b/src/test/java/org/bulrushwheel/logic/raft/RaftNodeTest.java
@@ -234,11 +234,9 @@
     }
 
     private static void requestJoin(RaftCluster cluster, String replica) {
-        cluster.leader().map(leader -> leader.node).ifPresent(leader -> {
-            boolean caughtUp = leader.isInContact(replica) && leader.matchIndexOf(replica) >= leader.commitIndex();
-            ReplicaReplacement.nextChange(leader.voters(), ReplicaId.parse(replica), caughtUp)
-                    .ifPresent(leader::proposeVoters);
-        });
+        cluster.leader().map(leader -> leader.node).ifPresent(leader -> ReplicaReplacement.nextChange(
+                        leader, ReplicaId.parse(replica))
+                .ifPresent(leader::proposeVoters));
     }
 
     /** Guards against a replica with a full disk that counts as current because it hears its leader. */
--- a/src/test/java/org/bulrushwheel/logic/raft/ReplicaMembershipFuzzTest.java
+++ b/src/test/java/org/bulrushwheel/logic/raft/ReplicaMembershipFuzzTest.java
@@ -25,7 +25,6 @@
  */
 class ReplicaMembershipFuzzTest {
     private static final int REPLICAS = 5;
-    private static final long LOST_VOTER_MILLIS = 12_000;
     private static final long STEP_MILLIS = 200;
     private static final int STEPS = 600;
     // The lost are removed and come back within this time after the last fault.
@@ -141,8 +140,7 @@
             if (!leader.isUp() || leader.node.role() != RaftRole.LEADER) {
                 continue;
             }
-            LostVoterRemoval.nextChange(leader.node.voters(), leader.node.votersUnresponsiveFor(LOST_VOTER_MILLIS))
-                    .ifPresent(leader.node::proposeVoters);
+            LostVoterRemoval.nextChange(leader.node).ifPresent(leader.node::proposeVoters);
             cluster.replicas.values().stream()
                     .filter(joining -> joining.isUp() && joining != leader)
                     .filter(joining -> !cluster.isolated.contains(joining.id) && !cluster.isolated.contains(leader.id))
@@ -152,9 +150,7 @@
     }
 
     private static void join(RaftNode leader, String joining) {
-        boolean caughtUp = leader.isInContact(joining) && leader.matchIndexOf(joining) >= leader.commitIndex();
-        ReplicaReplacement.nextChange(leader.voters(), ReplicaId.parse(joining), caughtUp)
-                .ifPresent(leader::proposeVoters);
+        ReplicaReplacement.nextChange(leader, ReplicaId.parse(joining)).ifPresent(leader::proposeVoters);
     }
 
     private void recover(RaftCluster cluster) {
