Let a learner vote for a candidate that counts it as a voter

What callers would see: no leader for good, so no configuration is accepted and every read of it is answered 503 (CONFIG).

Cause: a change of the voters counts from the moment that it is in a log. A leader that promotes a learner and loses its leadership before the learner has that entry leaves voters that need its vote, while the learner, by its own log, is none and refuses it. With one voter lost, as at each replacement, nobody can be elected any more, and nobody sends the entry.

A learner votes now. The vote counts only for a candidate in whose log it is a voter, as before; it is synced before it is sent and goes only to a candidate whose log is as up to date as the learner's, so a majority of the candidate's voters still holds all that is committed. A replica that is neither voter nor learner still refuses (nonVoterNeverVotes, unchanged).

--- a/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
@@ -25,8 +25,8 @@
  * Raft replica as a pure state machine: the input is messages and ticks, the output is {@link RaftReady}.
  *
  * <p>Invariants: an entry is committed only after a majority of voters has synced it in the leader's term; a vote is
- * synced before it is sent; a non-voting replica never votes and never counts towards a quorum. Not thread safe: all
- * calls must come from one thread.
+ * synced before it is sent; a replica that is neither voter nor learner never votes; only replicas that are voters in the
+ * candidate's or leader's log count towards a quorum. Not thread safe: all calls must come from one thread.
  */
 public final class RaftNode {
     private final String self;
@@ -335,7 +335,9 @@
     }
 
     private boolean mayVoteFor(RaftMessage message, boolean preVote) {
-        if (!isVoter(self)) {
+        // The candidate may have the entry that promoted this learner, and need its vote to replicate that entry.
+        boolean isLearner = log.voters().getLearnersList().contains(self);
+        if (!isVoter(self) && !isLearner) {
             return false;
         }
         if (preVote) {
--- a/src/test/java/org/bulrushwheel/logic/raft/RaftNodeTest.java
+++ b/src/test/java/org/bulrushwheel/logic/raft/RaftNodeTest.java
@@ -333,6 +333,39 @@
         assertFalse(votesFor(cluster.addReplicaWithEmptyDisk("r1#2"), "r2#1"));
     }
 
+    /**
+     * Guards against a quorum that is lost for good at a promotion: the learner lacks the entry that makes it a voter and
+     * refuses its vote, without which nobody can be elected to send it that entry.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {91, 92, 93})
+    void learnerVotesForACandidateThatCountsItAsAVoter(long seed) {
+        RaftCluster cluster = new RaftCluster(seed, 3);
+        cluster.runFor(3_000);
+        RaftCluster.Replica leader = cluster.leader().orElseThrow();
+        RaftCluster.Replica lost = cluster.replicas.values().stream()
+                .filter(replica -> replica != leader)
+                .findFirst()
+                .orElseThrow();
+        lost.crash();
+        ReplicaId learner = new ReplicaId("s1", "1");
+        cluster.addReplicaWithEmptyDisk(learner.toString());
+        requestJoin(cluster, learner.toString());
+        cluster.runFor(1_000);
+        cluster.isolated.add(learner.toString());
+        requestJoin(cluster, learner.toString());
+        assertTrue(leader.node.voters().getVotersList().contains(learner.toString()), "it was not promoted");
+        cluster.runFor(2_000);
+        assertEquals(Optional.empty(), cluster.leader());
+        cluster.isolated.clear();
+        cluster.runFor(5_000);
+
+        assertTrue(cluster.leader().isPresent(), "three of four voters elect nobody");
+        assertTrue(cluster.propose("after", claim("after", "after")));
+        cluster.runFor(1_000);
+        assertEquals(Kind.KEY_CLAIMED, cluster.results.get("after").getKind());
+    }
+
     private static boolean votesFor(RaftCluster.Replica voter, String candidate) {
         voter.node.step(RaftMessage.newBuilder()
                 .setFrom(candidate)
--- a/src/test/java/org/bulrushwheel/logic/raft/ReplicaMembershipFuzzTest.java
+++ b/src/test/java/org/bulrushwheel/logic/raft/ReplicaMembershipFuzzTest.java
@@ -20,7 +20,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
- * Removals, joins, restarts, lost disks and partitions in random order, on virtual time. A long run is started with
+ * Removals, joins, restarts, lost disks, successors and partitions in random order, on virtual time. A long run is started with
  * {@code -Dmembership.seeds=N}.
  */
 class ReplicaMembershipFuzzTest {
@@ -103,7 +103,10 @@
         }
     }
 
-    /** Empties a disk if a majority of the voters without it holds all that is committed. */
+    /**
+     * Empties a disk if a majority of the voters without it holds all that is committed. The replica on the new disk is of
+     * the same instance or of one that takes its place.
+     */
     private void loseDisk(RaftCluster cluster, RaftCluster.Replica chosen) {
         Optional<RaftCluster.Replica> leader = cluster.leader();
         if (leader.isEmpty() || leader.get() == chosen) {
@@ -121,8 +124,9 @@
         cluster.replicas.remove(chosen.id);
         cluster.isolated.remove(chosen.id);
         incarnation++;
-        cluster.addReplicaWithEmptyDisk(
-                new ReplicaId(ReplicaId.parse(chosen.id).instance(), Long.toString(incarnation)).toString());
+        String instance =
+                cluster.random.nextBoolean() ? ReplicaId.parse(chosen.id).instance() : "s" + incarnation;
+        cluster.addReplicaWithEmptyDisk(new ReplicaId(instance, Long.toString(incarnation)).toString());
     }
 
     private static boolean holdsAllCommitted(RaftCluster cluster, RaftCluster.Replica replica) {
