Remove lost voters before their successors outnumber the running ones

Cause: a lost voter was removed only after 12 s of silence under one leader, while its successor was a voter within 2 s.

Leaders look for lost voters every 0.2 s instead of every second, and remove the longest silent first.

ReplicaSuccessionTest failed before in 7 of 9 rows, for instance "after succession 4 another loss can't be borne: 10 voters, 6 running", and passes.

--- a/src/main/java/org/bulrushwheel/control/ReplicaMembership.java
+++ b/src/main/java/org/bulrushwheel/control/ReplicaMembership.java
@@ -20,7 +20,7 @@
  */
 final class ReplicaMembership {
     private static final long JOIN_INTERVAL_MILLIS = 500;
-    private static final long REMOVAL_INTERVAL_MILLIS = 1_000;
+    private static final long REMOVAL_INTERVAL_MILLIS = 200;
 
     private final ReplicaSettings settings;
     private final PeerNetwork peers;
--- a/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
@@ -258,7 +258,7 @@
         return log.termAt(commitIndex).orElse(0L) == hardState.getTerm();
     }
 
-    /** Voters that have not responded to this leader for the given time. */
+    /** Voters that have not responded to this leader for the given time, the longest unresponsive first. */
     public List<String> votersUnresponsiveFor(long millis) {
         return tracker.inactiveVoters(log.voters(), millis, nowMillis);
     }
--- a/src/main/java/org/bulrushwheel/logic/raft/ReplicationTracker.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/ReplicationTracker.java
@@ -1,6 +1,7 @@
 package org.bulrushwheel.logic.raft;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -53,10 +54,11 @@
                 .count();
     }
 
-    /** Voters, without the leader, that were not active within the given time. */
+    /** Voters, without the leader, that were not active within the given time; the longest inactive first. */
     List<String> inactiveVoters(Voters voters, long withinMillis, long nowMillis) {
         return voters.getVotersList().stream()
                 .filter(voter -> !voter.equals(self) && !wasActiveWithin(voter, withinMillis, nowMillis))
+                .sorted(Comparator.comparingLong(voter -> valueOf(voter, Progress::lastContactMillis)))
                 .toList();
     }
 
--- /dev/null
+++ b/src/test/java/org/bulrushwheel/logic/raft/ReplicaSuccessionTest.java
@@ -0,0 +1,104 @@
+package org.bulrushwheel.logic.raft;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.bulrushwheel.model.proto.ClaimKey;
+import org.bulrushwheel.model.proto.Command;
+import org.bulrushwheel.model.proto.CommandResult.Kind;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Instances that are lost for good, one at a time, each succeeded by one with another name; on virtual time. */
+class ReplicaSuccessionTest {
+    private static final int SUCCESSIONS = 12;
+    private static final long JOIN_INTERVAL_MILLIS = 500;
+    // Times of the users: a successor starts this long after the loss, and counts as lost for the time to catch up.
+    private static final long SUCCESSOR_AFTER_MILLIS = 1_000;
+    private static final long CATCH_UP_MILLIS = 4_000;
+    private static final long PAUSE_MILLIS = 3_000;
+    private static final long ELECTION_MILLIS = 5_000;
+
+    /**
+     * Guards against a quorum that is lost for good: the lost voters stay in the set beside their successors, until the
+     * running ones are no majority of it any more.
+     *
+     * @param losesLeader whether the leader is lost each time; otherwise another voter
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "81, 6, true, 0.0",
+        "82, 6, true, 0.02",
+        "83, 6, false, 0.0",
+        "84, 5, true, 0.0",
+        "85, 5, false, 0.02",
+        "86, 4, true, 0.0",
+        "87, 3, true, 0.0",
+        "88, 3, true, 0.02",
+        "89, 3, false, 0.0",
+    })
+    void majorityOutlivesAnyNumberOfSuccessions(long seed, int size, boolean losesLeader, double lossRate) {
+        RaftCluster cluster = new RaftCluster(seed, size);
+        cluster.maxDelayMillis = 40;
+        cluster.lossRate = lossRate;
+        maintain(cluster, ELECTION_MILLIS);
+        for (int succession = 1; succession <= SUCCESSIONS; succession++) {
+            lose(cluster, losesLeader);
+            maintain(cluster, SUCCESSOR_AFTER_MILLIS);
+            cluster.addReplicaWithEmptyDisk("s" + succession + "#1");
+            maintain(cluster, CATCH_UP_MILLIS);
+
+            List<String> voters = leader(cluster, succession).node.voters().getVotersList();
+            long running = voters.stream().filter(cluster.replicas::containsKey).count();
+            assertTrue(
+                    running - 1 > voters.size() / 2,
+                    "after succession " + succession + " another loss can't be borne: voters " + voters + ", running "
+                            + cluster.replicas.keySet());
+            maintain(cluster, PAUSE_MILLIS);
+        }
+        cluster.lossRate = 0;
+        maintain(cluster, ELECTION_MILLIS);
+        assertTrue(cluster.propose("last", claim("last")));
+        cluster.runFor(ELECTION_MILLIS);
+        assertEquals(Kind.KEY_CLAIMED, cluster.results.get("last").getKind());
+    }
+
+    private static RaftCluster.Replica leader(RaftCluster cluster, int succession) {
+        return cluster.leader()
+                .orElseThrow(() -> new AssertionError(
+                        "no leader after succession " + succession + " of " + cluster.replicas.keySet()));
+    }
+
+    private static void lose(RaftCluster cluster, boolean losesLeader) {
+        Optional<RaftCluster.Replica> leader = cluster.leader();
+        RaftCluster.Replica lost = cluster.replicas.values().stream()
+                .filter(replica -> leader.equals(Optional.of(replica)) == losesLeader)
+                .findFirst()
+                .orElseThrow();
+        lost.crash();
+        cluster.replicas.remove(lost.id);
+    }
+
+    private static void maintain(RaftCluster cluster, long millis) {
+        for (long elapsed = 0; elapsed < millis; elapsed += JOIN_INTERVAL_MILLIS) {
+            cluster.runFor(JOIN_INTERVAL_MILLIS);
+            cluster.leader().map(leader -> leader.node).ifPresent(leader -> {
+                LostVoterRemoval.nextChange(leader).ifPresent(leader::proposeVoters);
+                cluster.replicas.values().stream()
+                        .filter(replica -> ReplicaReplacement.mustJoin(replica.node, replica.id))
+                        .forEach(replica -> ReplicaReplacement.nextChange(leader, ReplicaId.parse(replica.id))
+                                .ifPresent(leader::proposeVoters));
+            });
+        }
+    }
+
+    private static Command claim(String key) {
+        return Command.newBuilder()
+                .setClaimKey(
+                        ClaimKey.newBuilder().setService("desk").setKey(key).setClaimId(key))
+                .build();
+    }
+}
