Test a status of 000 in more forms

New shapes: 000 without a reason, with an empty one, of HTTP/1.0 and behind an informational head; 00 and 0000; a body behind 199 and behind 101.

--- a/src/test/java/org/bulrushwheel/logic/response/MalformedHead.java
+++ b/src/test/java/org/bulrushwheel/logic/response/MalformedHead.java
@@ -6,6 +6,20 @@
 /** Response heads that are not HTTP/1.1 (RFC 9112, sections 4 and 5), each made of a sound response. */
 public enum MalformedHead implements MalformedShape {
     STATUS_000("200 OK", "000 OK"),
+    STATUS_000_WITHOUT_REASON("200 OK", "000"),
+    STATUS_000_WITH_EMPTY_REASON("200 OK", "000 "),
+    STATUS_000_OF_EARLIER_VERSION("HTTP/1.1 200 OK", "HTTP/1.0 000 OK"),
+    STATUS_000_BEHIND_INFORMATIONAL("HTTP/1.1 200 OK", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK"),
+    STATUS_00("200 OK", "00 OK"),
+    STATUS_0000("200 OK", "0000 OK"),
+    STATUS_INFORMATIONAL_WITH_BODY("200 OK", "199 OK") {
+        @Override
+        public String response(String requestId) {
+            // Ends the line that the body is by its place, the status line of the next head.
+            return super.response(requestId) + "\r\n";
+        }
+    },
+    STATUS_SWITCHING_WITH_BODY("200 OK", "101 Switching Protocols"),
     STATUS_099("200 OK", "099 OK"),
     STATUS_600("200 OK", "600 OK"),
     STATUS_999("200 OK", "999 OK"),
