--- a/src/test/java/org/bulrushwheel/logic/raft/ReplicaSuccessionTest.java
+++ b/src/test/java/org/bulrushwheel/logic/raft/ReplicaSuccessionTest.java
@@ -12,7 +12,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Instances that are lost for good, one at a time, each succeeded by one with another name; on virtual time. */
+/** Instances that are lost for good, one at a time, each succeeded by another one or by itself on a new disk; on virtual time. */
 class ReplicaSuccessionTest {
     private static final int SUCCESSIONS = 12;
     private static final long JOIN_INTERVAL_MILLIS = 500;
@@ -27,28 +27,34 @@
      * running ones are no majority of it any more.
      *
      * @param losesLeader whether the leader is lost each time; otherwise another voter
+     * @param isSameInstance whether a successor has the name of its predecessor
      */
     @ParameterizedTest
     @CsvSource({
-        "81, 6, true, 0.0",
-        "82, 6, true, 0.02",
-        "83, 6, false, 0.0",
-        "84, 5, true, 0.0",
-        "85, 5, false, 0.02",
-        "86, 4, true, 0.0",
-        "87, 3, true, 0.0",
-        "88, 3, true, 0.02",
-        "89, 3, false, 0.0",
+        "81, 6, true, false, 0.0",
+        "82, 6, true, false, 0.02",
+        "83, 6, false, false, 0.0",
+        "84, 5, true, false, 0.0",
+        "85, 5, false, false, 0.02",
+        "86, 4, true, false, 0.0",
+        "87, 3, true, false, 0.0",
+        "88, 3, true, false, 0.02",
+        "89, 3, false, false, 0.0",
+        "90, 6, true, true, 0.02",
+        "91, 5, true, true, 0.0",
+        "92, 3, true, true, 0.02",
     })
-    void majorityOutlivesAnyNumberOfSuccessions(long seed, int size, boolean losesLeader, double lossRate) {
+    void majorityOutlivesAnyNumberOfSuccessions(
+            long seed, int size, boolean losesLeader, boolean isSameInstance, double lossRate) {
         RaftCluster cluster = new RaftCluster(seed, size);
         cluster.maxDelayMillis = 40;
         cluster.lossRate = lossRate;
         maintain(cluster, ELECTION_MILLIS);
         for (int succession = 1; succession <= SUCCESSIONS; succession++) {
-            lose(cluster, losesLeader);
+            String lost = lose(cluster, losesLeader);
             maintain(cluster, SUCCESSOR_AFTER_MILLIS);
-            cluster.addReplicaWithEmptyDisk("s" + succession + "#1");
+            String successor = isSameInstance ? ReplicaId.parse(lost).instance() : "s" + succession;
+            cluster.addReplicaWithEmptyDisk(new ReplicaId(successor, "d" + succession).toString());
             maintain(cluster, CATCH_UP_MILLIS);
 
             List<String> voters = leader(cluster, succession).node.voters().getVotersList();
@@ -72,7 +78,7 @@
                         "no leader after succession " + succession + " of " + cluster.replicas.keySet()));
     }
 
-    private static void lose(RaftCluster cluster, boolean losesLeader) {
+    private static String lose(RaftCluster cluster, boolean losesLeader) {
         Optional<RaftCluster.Replica> leader = cluster.leader();
         RaftCluster.Replica lost = cluster.replicas.values().stream()
                 .filter(replica -> leader.equals(Optional.of(replica)) == losesLeader)
@@ -80,6 +86,7 @@
                 .orElseThrow();
         lost.crash();
         cluster.replicas.remove(lost.id);
+        return lost.id;
     }
 
     private static void maintain(RaftCluster cluster, long millis) {
