Test that paused voters return and that minorities remove nobody

What must not get worse by the removal after 2 s: a voter that is cut off for 1.5 to 14 s is a voter again within the time to catch up, in the same term, with the same leader; and a side of a cut without a majority keeps all voters and commits nothing, in sets of 3 to 6.

--- a/src/test/java/org/bulrushwheel/logic/raft/ReplicaSuccessionTest.java
+++ b/src/test/java/org/bulrushwheel/logic/raft/ReplicaSuccessionTest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.bulrushwheel.model.proto.ClaimKey;
 import org.bulrushwheel.model.proto.Command;
@@ -72,6 +73,52 @@
         assertEquals(Kind.KEY_CLAIMED, cluster.results.get("last").getKind());
     }
 
+    /** Guards against a paused voter that stays away after it was taken for lost, or that disturbs the leader on its return. */
+    @ParameterizedTest
+    @CsvSource({"101, 6, 1500", "102, 6, 5000", "103, 5, 5000", "104, 5, 14000", "105, 4, 5000", "106, 3, 14000"})
+    void pausedVoterIsAVoterAgainInTime(long seed, int size, long pauseMillis) {
+        RaftCluster cluster = new RaftCluster(seed, size);
+        cluster.maxDelayMillis = 40;
+        maintain(cluster, ELECTION_MILLIS);
+        RaftCluster.Replica leader = cluster.leader().orElseThrow();
+        long term = leader.node.term();
+        String paused = cluster.replicas.keySet().stream()
+                .filter(id -> !id.equals(leader.id))
+                .findFirst()
+                .orElseThrow();
+        cluster.isolated.add(paused);
+        maintain(cluster, pauseMillis);
+        assertTrue(cluster.propose("during", claim("during")));
+        cluster.isolated.clear();
+        maintain(cluster, CATCH_UP_MILLIS);
+
+        assertEquals(cluster.replicas.keySet(), Set.copyOf(leader.node.voters().getVotersList()));
+        assertEquals(leader.state.snapshot(), cluster.replicas.get(paused).state.snapshot());
+        assertEquals(Optional.of(leader), cluster.leader());
+        assertEquals(term, leader.node.term());
+    }
+
+    /** Guards against a side of a cut without a majority that takes the other side for lost and acts alone. */
+    @ParameterizedTest
+    @CsvSource({"111, 6, 3", "112, 4, 2", "113, 5, 3", "114, 3, 2"})
+    void minorityRemovesNobody(long seed, int size, int cutOff) {
+        RaftCluster cluster = new RaftCluster(seed, size);
+        maintain(cluster, ELECTION_MILLIS);
+        RaftCluster.Replica leader = cluster.leader().orElseThrow();
+        cluster.replicas.keySet().stream()
+                .filter(id -> !id.equals(leader.id))
+                .limit(cutOff)
+                .forEach(cluster.isolated::add);
+        cluster.propose("during", claim("during"));
+        maintain(cluster, 3 * ELECTION_MILLIS);
+
+        assertEquals(Optional.empty(), cluster.leader());
+        cluster.replicas
+                .values()
+                .forEach(replica -> assertEquals(size, replica.node.voters().getVotersCount(), replica.id));
+        assertEquals(Set.of(), cluster.results.keySet());
+    }
+
     private static RaftCluster.Replica leader(RaftCluster cluster, int succession) {
         return cluster.leader()
                 .orElseThrow(() -> new AssertionError(
@@ -95,6 +142,7 @@
             cluster.leader().map(leader -> leader.node).ifPresent(leader -> {
                 LostVoterRemoval.nextChange(leader).ifPresent(leader::proposeVoters);
                 cluster.replicas.values().stream()
+                        .filter(replica -> !cluster.isolated.contains(replica.id))
                         .filter(replica -> ReplicaReplacement.mustJoin(replica.node, replica.id))
                         .forEach(replica -> ReplicaReplacement.nextChange(leader, ReplicaId.parse(replica.id))
                                 .ifPresent(leader::proposeVoters));
