--- a/src/main/java/org/bulrushwheel/logic/raft/LostVoterRemoval.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/LostVoterRemoval.java
@@ -16,9 +16,8 @@
     private static final int MIN_VOTERS = 3;
     // Longer than any restart. A replica that returns later requests to join and reuses its existing log.
     private static final long LOST_VOTER_MILLIS = 12_000;
-    // An even set tolerates no more losses than without one of its voters. Shorter than the time that a successor has
-    // to
-    // catch up, so that voters lost one at a time don't accumulate beside their successors.
+    // An even set tolerates no more losses than without one of its voters. Shorter than the time to catch up that a
+    // successor has, so that voters lost one at a time do not accumulate.
     private static final long LOST_VOTER_OF_EVEN_SET_MILLIS = 2_000;
 
     private LostVoterRemoval() {}
--- a/src/main/java/org/bulrushwheel/logic/raft/RaftMessages.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/RaftMessages.java
@@ -48,7 +48,7 @@
                 .addAllEntries(entries);
     }
 
-    /** Returns the response to a message with a snapshot, or with the last chunk of one. */
+    /** Returns the response to a message with a snapshot or with a chunk of one. */
     static AppendResponse.Builder installed(RaftMessage message, long matchIndex) {
         return AppendResponse.newBuilder()
                 .setSuccess(true)
@@ -59,11 +59,6 @@
                                 : message.getInstallSnapshot().getRound());
     }
 
-    /** Returns the response to a chunk of a snapshot that is not complete. */
-    static AppendResponse.Builder received(RaftMessage message, long matchIndex, long receivedBytes) {
-        return installed(message, matchIndex).setSnapshotBytes(receivedBytes);
-    }
-
     /** Whether a replica that is in this state may vote for the sender of a request. */
     static boolean mayVoteFor(RaftMessage request, String self, HardState hardState, Voters voters) {
         // The candidate may have the entry that promoted this learner, and need its vote to replicate that entry.
--- a/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/RaftNode.java
@@ -105,8 +105,7 @@
             case VOTE_RESPONSE -> onVoteResponse(message);
             case APPEND_REQUEST -> onAppendRequest(message);
             case APPEND_RESPONSE -> onAppendResponse(message);
-            case INSTALL_SNAPSHOT ->
-                onInstallSnapshot(message, message.getInstallSnapshot().getSnapshot());
+            case INSTALL_SNAPSHOT -> onInstallSnapshot(message);
             case SNAPSHOT_CHUNK -> onSnapshotChunk(message);
             default -> {
                 // Ignores message kinds of later releases.
@@ -230,14 +229,10 @@
         return log.termAt(index).orElse(0L);
     }
 
-    /** Highest index up to which a peer's log is known to match this leader's. */
-    public long matchIndexOf(String peer) {
-        return tracker.matchIndexOf(peer);
-    }
-
-    /** Whether the peer responded to this leader within the last election timeout. */
-    public boolean isInContact(String peer) {
-        return tracker.wasActiveWithin(peer, timings.electionTimeoutMillis(), nowMillis);
+    /** Whether the peer responded to this leader within the last election timeout, and has all committed entries. */
+    public boolean hasCaughtUp(String peer) {
+        return tracker.wasActiveWithin(peer, timings.electionTimeoutMillis(), nowMillis)
+                && tracker.matchIndexOf(peer) >= commitIndex;
     }
 
     /** Whether this replica is the leader, or received a message from one within the last election timeout. */
@@ -404,20 +399,26 @@
         outbox.truncateAfter(lastKept);
     }
 
-    private void onSnapshotChunk(RaftMessage message) {
-        SnapshotFile header = message.getSnapshotChunk().getSnapshot();
-        boolean isKnown = header.getLastIndex() <= commitIndex;
-        Optional<SnapshotFile> complete = isKnown ? Optional.of(header) : snapshotAssembly.add(message);
-        if (complete.isPresent()) {
-            onInstallSnapshot(message, complete.get());
-            return;
-        }
+    private void onInstallSnapshot(RaftMessage message) {
         recordLeaderContact(message.getFrom());
-        sendResponse(message.getFrom(), RaftMessages.received(message, commitIndex, snapshotAssembly.receivedBytes()));
+        install(message.getInstallSnapshot().getSnapshot());
+        sendResponse(message.getFrom(), RaftMessages.installed(message, commitIndex));
     }
 
-    private void onInstallSnapshot(RaftMessage message, SnapshotFile snapshot) {
+    private void onSnapshotChunk(RaftMessage message) {
         recordLeaderContact(message.getFrom());
+        long lastIndex = message.getSnapshotChunk().getSnapshot().getLastIndex();
+        if (lastIndex > commitIndex) {
+            snapshotAssembly.add(message).ifPresent(this::install);
+        }
+        AppendResponse.Builder response = RaftMessages.installed(message, commitIndex);
+        if (lastIndex > commitIndex) {
+            response.setSnapshotBytes(snapshotAssembly.receivedBytes());
+        }
+        sendResponse(message.getFrom(), response);
+    }
+
+    private void install(SnapshotFile snapshot) {
         if (log.contains(snapshot.getLastIndex(), snapshot.getLastTerm())) {
             // The entries behind it may have been acknowledged, and are never sent again.
             commitIndex = Math.max(commitIndex, snapshot.getLastIndex());
@@ -428,7 +429,6 @@
             persistedIndex = commitIndex;
             outbox.install(snapshot);
         }
-        sendResponse(message.getFrom(), RaftMessages.installed(message, commitIndex));
     }
 
     private void onAppendResponse(RaftMessage message) {
--- a/src/main/java/org/bulrushwheel/logic/raft/ReplicaReplacement.java
+++ b/src/main/java/org/bulrushwheel/logic/raft/ReplicaReplacement.java
@@ -25,9 +25,7 @@
 
     /** Returns the next change that a leader is to propose for a replica that requests to join, or empty if none is due. */
     public static Optional<Voters> nextChange(RaftNode leader, ReplicaId joining) {
-        String replica = joining.toString();
-        boolean caughtUp = leader.isInContact(replica) && leader.matchIndexOf(replica) >= leader.commitIndex();
-        return nextChange(leader.voters(), joining, caughtUp);
+        return nextChange(leader.voters(), joining, leader.hasCaughtUp(joining.toString()));
     }
 
     /**
