Share the command that tests of replicas propose

Four tests each built the same claim of a ledger key; RaftCluster has it now. Names of services and owners differ from before, which no test depends on. The tests of the package pass.

--- a/src/test/java/org/bulrushwheel/logic/raft/RaftCluster.java
+++ b/src/test/java/org/bulrushwheel/logic/raft/RaftCluster.java
@@ -13,6 +13,7 @@
 import java.util.TreeMap;
 
 import org.bulrushwheel.logic.control.ControlState;
+import org.bulrushwheel.model.proto.ClaimKey;
 import org.bulrushwheel.model.proto.Command;
 import org.bulrushwheel.model.proto.CommandResult;
 import org.bulrushwheel.model.proto.ControlSnapshot;
@@ -214,6 +215,14 @@
         return index.isPresent();
     }
 
+    /** Returns a command that claims a key of the run ledger. */
+    static Command claim(String key, String owner) {
+        return Command.newBuilder()
+                .setClaimKey(
+                        ClaimKey.newBuilder().setService("desk").setKey(key).setClaimId(owner))
+                .build();
+    }
+
     private void send(RaftMessage message) {
         if (random.nextDouble() < lossRate) {
             return;
--- a/src/test/java/org/bulrushwheel/logic/raft/RaftNodeTest.java
+++ b/src/test/java/org/bulrushwheel/logic/raft/RaftNodeTest.java
@@ -10,7 +10,6 @@
 import org.bulrushwheel.local.TestConfigurations;
 import org.bulrushwheel.model.proto.AcceptConfiguration;
 import org.bulrushwheel.model.proto.AppendRequest;
-import org.bulrushwheel.model.proto.ClaimKey;
 import org.bulrushwheel.model.proto.Command;
 import org.bulrushwheel.model.proto.CommandResult;
 import org.bulrushwheel.model.proto.CommandResult.Kind;
@@ -46,14 +45,14 @@
             injectFault(cluster);
             String name = "claim-" + step;
             String key = "key-" + step / 3;
-            if (cluster.propose(name, claim(key, name))) {
+            if (cluster.propose(name, RaftCluster.claim(key, name))) {
                 invokedMillis.put(name, cluster.nowMillis);
                 claimed.add(name);
             }
             cluster.runFor(60);
         }
         recoverAll(cluster);
-        assertTrue(cluster.propose("last", claim("last", "last")));
+        assertTrue(cluster.propose("last", RaftCluster.claim("last", "last")));
         cluster.runFor(3_000);
 
         assertEquals(Kind.KEY_CLAIMED, cluster.results.get("last").getKind());
@@ -137,7 +136,7 @@
                 .orElseThrow();
         down.crash();
         for (int index = 0; index < 700; index++) {
-            cluster.propose("c" + index, claim("key" + index, "c" + index));
+            cluster.propose("c" + index, RaftCluster.claim("key" + index, "c" + index));
             cluster.runFor(20);
         }
         cluster.runFor(500);
@@ -253,7 +252,7 @@
         full.isDiskFull = true;
         int heard = 0;
         for (int index = 0; index < 100; index++) {
-            cluster.propose("c" + index, claim("key" + index, "c" + index));
+            cluster.propose("c" + index, RaftCluster.claim("key" + index, "c" + index));
             cluster.runFor(40);
             heard += full.node.hasLeaderContact() ? 1 : 0;
             assertTrue(index < 20 || cluster.nowMillis >= full.node.upToDateUntilMillis());
@@ -271,7 +270,7 @@
         RaftCluster cluster = new RaftCluster(seed, 5);
         cluster.lossRate = 0.02;
         cluster.runFor(3_000);
-        cluster.propose("before", claim("before", "before"));
+        cluster.propose("before", RaftCluster.claim("before", "before"));
         cluster.runFor(1_000);
         RaftCluster.Replica lost = cluster.replicas.values().stream()
                 .filter(replica -> replica != cluster.leader().orElseThrow())
@@ -286,7 +285,7 @@
 
         cluster.leader().orElseThrow().crash();
         cluster.runFor(5_000);
-        assertTrue(cluster.propose("after", claim("before", "after")));
+        assertTrue(cluster.propose("after", RaftCluster.claim("before", "after")));
         cluster.runFor(1_000);
 
         assertEquals(Kind.KEY_IN_PROGRESS, cluster.results.get("after").getKind());
@@ -361,7 +360,7 @@
         cluster.runFor(5_000);
 
         assertTrue(cluster.leader().isPresent(), "three of four voters elect nobody");
-        assertTrue(cluster.propose("after", claim("after", "after")));
+        assertTrue(cluster.propose("after", RaftCluster.claim("after", "after")));
         cluster.runFor(1_000);
         assertEquals(Kind.KEY_CLAIMED, cluster.results.get("after").getKind());
     }
@@ -433,13 +432,6 @@
         assertTrue(holders.size() > 30, "only " + holders.size() + " claims got a result");
     }
 
-    private static Command claim(String key, String claimId) {
-        return Command.newBuilder()
-                .setClaimKey(
-                        ClaimKey.newBuilder().setService("casedesk").setKey(key).setClaimId(claimId))
-                .build();
-    }
-
     private static Command accept(String changeId, long version) {
         return Command.newBuilder()
                 .setChangeId(changeId)
--- a/src/test/java/org/bulrushwheel/logic/raft/ReplicaCatchUpTest.java
+++ b/src/test/java/org/bulrushwheel/logic/raft/ReplicaCatchUpTest.java
@@ -5,7 +5,6 @@
 
 import com.google.protobuf.ByteString;
 import org.bulrushwheel.logic.fleet.DocumentDeltas;
-import org.bulrushwheel.model.proto.ClaimKey;
 import org.bulrushwheel.model.proto.Command;
 import org.bulrushwheel.model.proto.ReplaceTraffic;
 import org.bulrushwheel.model.proto.Voters;
@@ -115,7 +114,8 @@
         cluster.runFor(3_000);
         RaftCluster.Replica leader = cluster.leader().orElseThrow();
         for (int index = 1; index <= CONFIGURATIONS; index++) {
-            assertTrue(cluster.propose("c" + index, claim("c" + index + "x".repeat(DOCUMENT_BYTES))));
+            assertTrue(
+                    cluster.propose("c" + index, RaftCluster.claim("c" + index + "x".repeat(DOCUMENT_BYTES), "owner")));
             cluster.runFor(60);
         }
         leader.takeSnapshot(0);
@@ -129,7 +129,7 @@
             learner.crash();
             learner.start();
         }
-        cluster.propose("during", claim("during"));
+        cluster.propose("during", RaftCluster.claim("during", "owner"));
         cluster.runFor(CATCH_UP_MILLIS);
 
         assertTrue(leader.state.snapshot().equals(learner.state.snapshot()), "the learner is behind");
@@ -137,13 +137,6 @@
         assertEquals(Optional.of(leader), cluster.leader());
     }
 
-    private static Command claim(String key) {
-        return Command.newBuilder()
-                .setClaimKey(
-                        ClaimKey.newBuilder().setService("desk").setKey(key).setClaimId(key))
-                .build();
-    }
-
     private static void addLearner(RaftCluster.Replica leader, String learner) {
         Voters voters = leader.node.voters();
         assertTrue(leader.node
--- a/src/test/java/org/bulrushwheel/logic/raft/ReplicaMembershipFuzzTest.java
+++ b/src/test/java/org/bulrushwheel/logic/raft/ReplicaMembershipFuzzTest.java
@@ -8,8 +8,6 @@
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 
-import org.bulrushwheel.model.proto.ClaimKey;
-import org.bulrushwheel.model.proto.Command;
 import org.bulrushwheel.model.proto.CommandResult.Kind;
 import org.bulrushwheel.model.proto.LogEntry;
 import org.bulrushwheel.model.proto.Voters;
@@ -47,14 +45,14 @@
             cluster.lossRate = step / 50 % 3 == 0 ? 0.1 : 0;
             injectFault(cluster);
             String claim = "claim-" + step;
-            if (cluster.propose(claim, claim("key-" + step / 3, claim))) {
+            if (cluster.propose(claim, RaftCluster.claim("key-" + step / 3, claim))) {
                 claims.add(claim);
             }
             maintain(cluster);
         }
         recover(cluster);
 
-        assertTrue(cluster.propose("last", claim("last", "last")));
+        assertTrue(cluster.propose("last", RaftCluster.claim("last", "last")));
         cluster.runFor(3_000);
         assertEquals(Kind.KEY_CLAIMED, cluster.results.get("last").getKind());
         RaftCluster.Replica leader = cluster.leader().orElseThrow();
@@ -204,11 +202,4 @@
                 .map(claim -> Integer.parseInt(claim.substring("claim-".length())) / 3)
                 .forEach(key -> assertTrue(keys.add("key-" + key), "key-" + key + " is claimed twice"));
     }
-
-    private static Command claim(String key, String owner) {
-        return Command.newBuilder()
-                .setClaimKey(
-                        ClaimKey.newBuilder().setService("desk").setKey(key).setClaimId(owner))
-                .build();
-    }
 }
--- a/src/test/java/org/bulrushwheel/logic/raft/ReplicaSuccessionTest.java
+++ b/src/test/java/org/bulrushwheel/logic/raft/ReplicaSuccessionTest.java
@@ -4,8 +4,6 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.bulrushwheel.model.proto.ClaimKey;
-import org.bulrushwheel.model.proto.Command;
 import org.bulrushwheel.model.proto.CommandResult.Kind;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -68,7 +66,7 @@
         }
         cluster.lossRate = 0;
         maintain(cluster, ELECTION_MILLIS);
-        assertTrue(cluster.propose("last", claim("last")));
+        assertTrue(cluster.propose("last", RaftCluster.claim("last", "owner")));
         cluster.runFor(ELECTION_MILLIS);
         assertEquals(Kind.KEY_CLAIMED, cluster.results.get("last").getKind());
     }
@@ -88,7 +86,7 @@
                 .orElseThrow();
         cluster.isolated.add(paused);
         maintain(cluster, pauseMillis);
-        assertTrue(cluster.propose("during", claim("during")));
+        assertTrue(cluster.propose("during", RaftCluster.claim("during", "owner")));
         cluster.isolated.clear();
         maintain(cluster, CATCH_UP_MILLIS);
 
@@ -109,7 +107,7 @@
                 .filter(id -> !id.equals(leader.id))
                 .limit(cutOff)
                 .forEach(cluster.isolated::add);
-        cluster.propose("during", claim("during"));
+        cluster.propose("during", RaftCluster.claim("during", "owner"));
         maintain(cluster, 3 * ELECTION_MILLIS);
 
         assertEquals(Optional.empty(), cluster.leader());
@@ -149,11 +147,4 @@
             });
         }
     }
-
-    private static Command claim(String key) {
-        return Command.newBuilder()
-                .setClaimKey(
-                        ClaimKey.newBuilder().setService("desk").setKey(key).setClaimId(key))
-                .build();
-    }
 }
