Restore two rows on lost chunks, which fail, and list them as known red

That hid a real weakness: chunks are sent one at a time, and each lost one waits an election timeout (0.6 s).

The key is the owner again, here and in ReplicaSuccessionTest, as before.

No product code changed.

--- a/src/test/java/org/bulrushwheel/logic/raft/ReplicaCatchUpTest.java
+++ b/src/test/java/org/bulrushwheel/logic/raft/ReplicaCatchUpTest.java
@@ -13,6 +13,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
 
 /** Replicas that miss more of the log than a connection between replicas holds at once, on virtual time. */
 class ReplicaCatchUpTest {
@@ -109,13 +110,29 @@
     @ParameterizedTest
     @CsvSource({"121, false, 0.0", "122, true, 0.0", "123, true, 0.02", "124, false, 0.02"})
     void replicaIsSentASnapshotOfAnyLength(long seed, boolean restarts, double lossRate) {
+        assertSnapshotArrivesInTime(seed, restarts, lossRate);
+    }
+
+    /** Fails; listed in KNOWN-RED.txt. Guards against a transfer that waits an election timeout for each lost chunk. */
+    @ParameterizedTest
+    @CsvSource({"123, true, 0.05", "124, false, 0.05"})
+    void replicaIsSentASnapshotInTimeThoughChunksAreLost(long seed, boolean restarts, double lossRate) {
+        boolean isRun = Boolean.getBoolean("known.red");
+        if (!isRun) {
+            System.out.println("KNOWN-RED: passed over replicaIsSentASnapshotInTimeThoughChunksAreLost, seed " + seed);
+        }
+        assumeTrue(isRun);
+        assertSnapshotArrivesInTime(seed, restarts, lossRate);
+    }
+
+    private static void assertSnapshotArrivesInTime(long seed, boolean restarts, double lossRate) {
         RaftCluster cluster = new RaftCluster(seed, 3);
         cluster.maxLinkBytes = MAX_LINK_BYTES;
         cluster.runFor(3_000);
         RaftCluster.Replica leader = cluster.leader().orElseThrow();
         for (int index = 1; index <= CONFIGURATIONS; index++) {
-            assertTrue(
-                    cluster.propose("c" + index, RaftCluster.claim("c" + index + "x".repeat(DOCUMENT_BYTES), "owner")));
+            String key = "c" + index + "x".repeat(DOCUMENT_BYTES);
+            assertTrue(cluster.propose("c" + index, RaftCluster.claim(key, key)));
             cluster.runFor(60);
         }
         leader.takeSnapshot(0);
@@ -129,7 +146,7 @@
             learner.crash();
             learner.start();
         }
-        cluster.propose("during", RaftCluster.claim("during", "owner"));
+        cluster.propose("during", RaftCluster.claim("during", "during"));
         cluster.runFor(CATCH_UP_MILLIS);
 
         assertTrue(leader.state.snapshot().equals(learner.state.snapshot()), "the learner is behind");
--- a/src/test/java/org/bulrushwheel/logic/raft/ReplicaSuccessionTest.java
+++ b/src/test/java/org/bulrushwheel/logic/raft/ReplicaSuccessionTest.java
@@ -66,7 +66,7 @@
         }
         cluster.lossRate = 0;
         maintain(cluster, ELECTION_MILLIS);
-        assertTrue(cluster.propose("last", RaftCluster.claim("last", "owner")));
+        assertTrue(cluster.propose("last", RaftCluster.claim("last", "last")));
         cluster.runFor(ELECTION_MILLIS);
         assertEquals(Kind.KEY_CLAIMED, cluster.results.get("last").getKind());
     }
@@ -86,7 +86,7 @@
                 .orElseThrow();
         cluster.isolated.add(paused);
         maintain(cluster, pauseMillis);
-        assertTrue(cluster.propose("during", RaftCluster.claim("during", "owner")));
+        assertTrue(cluster.propose("during", RaftCluster.claim("during", "during")));
         cluster.isolated.clear();
         maintain(cluster, CATCH_UP_MILLIS);
 
@@ -107,7 +107,7 @@
                 .filter(id -> !id.equals(leader.id))
                 .limit(cutOff)
                 .forEach(cluster.isolated::add);
-        cluster.propose("during", RaftCluster.claim("during", "owner"));
+        cluster.propose("during", RaftCluster.claim("during", "during"));
         maintain(cluster, 3 * ELECTION_MILLIS);
 
         assertEquals(Optional.empty(), cluster.leader());
